--- /dev/null
+++ b/main.go
@@ -0,0 +1,5 @@
+// Command buckthorntide schedules agent programs over model engines and plain
+// services.
+package main
+
+func main() {}
