Read and check the operators' text and the settings

Cause: the text and the settings were structs without a reader.

Text gains failureDomains, which may be left out, so that a domain without upstreams can be taken out and a misspelt one is refused. Settings gain adminKeyFile.

Conclusion: the other parts can build on a checked text.

--- /dev/null
+++ b/conf/checksettings.go
@@ -0,0 +1,69 @@
+package conf
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+var logLevels = []string{"trace", "debug", "info", "warn", "error"}
+
+// checkSettings notes everything in the settings that a process can't run
+// with.
+func checkSettings(d *document, s Settings) {
+	checkAddresses(d, s)
+	checkDurations(d, s)
+	for _, f := range []struct{ field, value string }{
+		{"failureDomain", s.FailureDomain},
+		{"region", s.Region},
+	} {
+		if fault := nameFault(f.value); fault != "" {
+			d.fault(path(nil).member(f.field), fault)
+		}
+	}
+	if !slices.Contains(logLevels, s.LogLevel) {
+		d.fault(path(nil).member("logLevel"), fmt.Sprintf("unknown level %q; use one of %s", s.LogLevel, strings.Join(logLevels, ", ")))
+	}
+}
+
+// checkAddresses notes addresses that are not IP:port and own ones that are
+// given twice.
+func checkAddresses(d *document, s Settings) {
+	seen := make(map[string]string)
+	for _, a := range []struct{ field, address string }{
+		{"listenAddress", s.ListenAddress},
+		{"adminAddress", s.AdminAddress},
+		{"peerAddress", s.PeerAddress},
+		{"platformAddress", s.PlatformAddress},
+	} {
+		p := path(nil).member(a.field)
+		if !isListenAddress(a.address) {
+			d.fault(p, mustBeIPPort)
+			continue
+		}
+		if other, taken := seen[a.address]; taken && !strings.HasSuffix(a.address, ":0") {
+			d.fault(p, fmt.Sprintf("%s has the address %s too", other, a.address))
+		}
+		seen[a.address] = a.field
+	}
+}
+
+// checkDurations notes every duration that is not above zero.
+func checkDurations(d *document, s Settings) {
+	v := reflect.ValueOf(s)
+	for i := range v.NumField() {
+		if v.Field(i).Type() != durationType || v.Field(i).Int() > 0 {
+			continue
+		}
+		d.fault(path(nil).member(v.Type().Field(i).Tag.Get("json")), mustBeAboveZero)
+	}
+}
+
+// isListenAddress says that the address is IP:port; port zero, which asks the
+// system for a free port, is allowed.
+func isListenAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -23,6 +23,9 @@
 	PeerAddress string `json:"peerAddress"`
 	// PlatformAddress is the platform's address, as IP:port.
 	PlatformAddress string `json:"platformAddress"`
+	// AdminKeyFile is a file with the first admin key, or with its SHA-256 as 64
+	// hexadecimal digits. Empty means that BUCKTHORNTIDE_ADMIN_KEY holds it.
+	AdminKeyFile string `json:"adminKeyFile"`
 	// LogLevel is one of trace, debug, info, warn and error.
 	LogLevel string `json:"logLevel"`
 	// HeartbeatInterval is the time between two exchanges with a peer.
--- a/conf/text.go
+++ b/conf/text.go
@@ -17,6 +17,9 @@
 		Services []Service `json:"services"`
 		// Teams are the teams and their grants.
 		Teams []Team `json:"teams"`
+		// FailureDomains names the failure domains that upstreams and instances
+		// stand in; empty means those of the upstreams.
+		FailureDomains []string `json:"failureDomains"`
 		// DomainsOut names the failure domains that are taken out.
 		DomainsOut []string `json:"domainsOut"`
 		// WeightStore bounds the orders that load weights.
