--- /dev/null
+++ b/fleet/message.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+type (
+	// Heartbeat is what an instance says of itself in every message.
+	Heartbeat struct {
+		// Instance is the sender. Its Leaving field says that it is draining.
+		Instance store.Instance `json:"instance"`
+		// Seats is the number of seats that the sender holds.
+		Seats int `json:"seats,omitempty"`
+		// Suspects names peers that the sender has lost. The receiver checks
+		// them by itself; it takes nobody's word for it.
+		Suspects []string `json:"suspects,omitempty"`
+	}
+
+	// Release tells a seat holder that a home gave up shards in favour of
+	// another one, which alone may have them until the old promise has lapsed.
+	Release struct {
+		// Handover is the id of the planned handover.
+		Handover uint64 `json:"handover"`
+		// To is the name of the next home.
+		To string `json:"to"`
+		// Shards are the shards that were given up.
+		Shards Bitmap `json:"shards"`
+	}
+
+	// PullRequest asks a seat holder for its seats of some shards. It is a
+	// heartbeat as well; its set of shards may be empty.
+	PullRequest struct {
+		// ID is unique among the requests of the sender's process.
+		ID uint64 `json:"id"`
+		// From is the sender's heartbeat.
+		From Heartbeat `json:"from"`
+		// Shards are the shards that the sender is home of.
+		Shards Bitmap `json:"shards"`
+		// Releases are the sender's recent handovers.
+		Releases []Release `json:"releases,omitempty"`
+	}
+
+	// Handed says that a granted shard came by a planned handover, straight
+	// from the previous home.
+	Handed struct {
+		Shard    Shard  `json:"shard"`
+		Handover uint64 `json:"handover"`
+	}
+
+	// PullReply is a seat holder's answer.
+	PullReply struct {
+		// ID is the request's.
+		ID uint64 `json:"id"`
+		// From is the sender's heartbeat.
+		From Heartbeat `json:"from"`
+		// Granted are the shards that are delegated to the asker.
+		Granted Bitmap `json:"granted"`
+		// Seats is how many seats are delegated for each granted shard.
+		Seats int `json:"seats,omitempty"`
+		// TTL is how long the delegation holds, counted by the asker from the
+		// moment before it sent the request.
+		TTL time.Duration `json:"ttl,omitempty"`
+		// Handed lists the granted shards that came by a planned handover.
+		Handed []Handed `json:"handed,omitempty"`
+	}
+)
