Add a fake platform for the tests of other packages

Cause: tests of decisions that reach the platform need one with faults that come on a given call. Change: store.Fake, with expected calls, faults (unavailable, lost, unknown) and a hook; the table in memory moves to store.Memory, which the stand-in shares.

--- a/stand/platform.go
+++ b/stand/platform.go
@@ -31,7 +31,7 @@
 
 		mu        sync.Mutex
 		random    *rand.Rand
-		rows      *rows
+		rows      *store.Memory
 		objects   map[string][]byte
 		instances *lagList
 		faults    PlatformFaults
@@ -45,7 +45,7 @@
 	p := &Platform{
 		config:    config,
 		random:    rand.New(rand.NewPCG(config.Seed, 1)),
-		rows:      newRows(),
+		rows:      store.NewMemory(),
 		objects:   make(map[string][]byte),
 		instances: newLagList(config.ListLag),
 		lifted:    make(chan struct{}),
@@ -78,7 +78,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	stats := p.stats
-	stats.Rows = len(p.rows.keys)
+	stats.Rows = p.rows.Len()
 	stats.Objects = len(p.objects)
 	return stats
 }
@@ -87,7 +87,7 @@
 func (p *Platform) Rows(prefix string) []store.Row {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.rows.scan(prefix, "", len(p.rows.keys))
+	return p.rows.Range(prefix, "", p.rows.Len())
 }
 
 func (p *Platform) routes() http.Handler {
@@ -164,7 +164,7 @@
 	}
 	p.mu.Lock()
 	p.stats.Reads++
-	row, ok := p.rows.get(request.Key)
+	row, ok := p.rows.Get(request.Key)
 	p.mu.Unlock()
 	if !ok {
 		http.Error(w, "no such row", http.StatusNotFound)
@@ -180,7 +180,7 @@
 	}
 	p.mu.Lock()
 	p.stats.Reads++
-	found := p.rows.scan(request.Prefix, request.After, request.Limit)
+	found := p.rows.Range(request.Prefix, request.After, request.Limit)
 	p.mu.Unlock()
 	writeJSON(w, http.StatusOK, store.RangeReply{Rows: found})
 }
@@ -204,7 +204,7 @@
 func (p *Platform) commit(txn store.Txn) (version int64, against []store.Row, lost bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	version, against = p.rows.commit(txn)
+	version, against = p.rows.Commit(txn)
 	if len(against) > 0 {
 		p.stats.Conflicts++
 		return 0, against, false
