--- /dev/null
+++ b/route/retry.go
@@ -0,0 +1,26 @@
+package route
+
+// retryBudget lets a share of successes be spent on retries, so that retries
+// can't multiply the load of a service that fails.
+type retryBudget struct {
+	tokens float64
+	ratio  float64
+	burst  float64
+}
+
+func newRetryBudget(l *Limits) retryBudget {
+	return retryBudget{tokens: l.RetryBurst, ratio: l.RetryRatio, burst: l.RetryBurst}
+}
+
+func (b *retryBudget) succeed() {
+	b.tokens = min(b.tokens+b.ratio, b.burst)
+}
+
+// take spends one retry if there is one.
+func (b *retryBudget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
