Decide programs' turns, budgets and unrepeatable calls

Change: package prog with Core (pure), Keeper (drives it with the store) and Intents (at most once by an intent row).

--- /dev/null
+++ b/prog/claiming.go
@@ -0,0 +1,197 @@
+package prog
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+type (
+	// ClaimRequest asks for leave to dispatch a call that may not be repeated.
+	ClaimRequest struct {
+		Team    string
+		Service string
+		// Key is the caller's idempotency key, or a generated one.
+		Key string
+		// Generated says that this instance made the key for this request, so
+		// that no other sending of it can exist.
+		Generated bool
+		// Digest is the digest of the request's body.
+		Digest string
+		// Deadline ends the wait, by this instance's clock.
+		Deadline time.Time
+	}
+
+	// ClaimReply has exactly one field set.
+	ClaimReply struct {
+		// Run lets this instance dispatch the call, once.
+		Run *Claim
+		// Replay is the answer of an earlier sending.
+		Replay *CallAnswer
+		// object holds a replay that is too large for the row.
+		object  *objectRef
+		Refusal *Refusal
+	}
+
+	// Claim is the leave to dispatch a call once. It must be settled.
+	Claim struct {
+		RowKey  string
+		Version int64
+		Row     IntentRow
+	}
+
+	// claiming takes one claim through the table. It does no I/O: each method
+	// takes what a step gave and returns the next step.
+	//
+	// A call is dispatched only after a commit that this claim is known to
+	// have won: the row is absent or says notRun before, and names this claim
+	// after. A lost answer is settled by reading the row. If that cannot be
+	// done before the deadline, this claim is refused and never dispatches;
+	// its row may still appear, and no other instance dispatches on the
+	// strength of it. The claim is then loose, and is settled as notRun as
+	// soon as the store answers, so that a resend can claim the call.
+	//
+	// Such a refusal says notRun only for a generated key. With a caller's
+	// key an earlier sending may have run, which only the table can tell, so
+	// that the truthful answer is unknown.
+	claiming struct {
+		request ClaimRequest
+		self    Dispatcher
+		claim   string
+		live    func(Dispatcher) bool
+		// loose is set while a row of this claim may exist or appear.
+		loose bool
+		// count numbers the transactions of this claim.
+		count int
+	}
+
+	// claimStep is what a claim wants done next; exactly one field is set.
+	claimStep struct {
+		commit *store.Txn
+		read   bool
+		wait   bool
+		reply  *ClaimReply
+	}
+
+	objectRef struct {
+		name   string
+		digest string
+	}
+)
+
+func (c *claiming) key() string {
+	return IntentKey(c.request.Team, c.request.Service, c.request.Key)
+}
+
+func (c *claiming) row() IntentRow {
+	return IntentRow{
+		State:      IntentPlanned,
+		Digest:     c.request.Digest,
+		Dispatcher: c.self,
+		Claim:      c.claim,
+	}
+}
+
+// put asks for the row of a version to become this claim's.
+func (c *claiming) put(version int64) claimStep {
+	c.count++
+	row := c.row()
+	return claimStep{commit: writeIntent(c.claim, c.count, c.key(), version, &row)}
+}
+
+// committed takes the outcome of a commit.
+func (c *claiming) committed(version int64, err error) claimStep {
+	switch {
+	case err == nil:
+		return c.run(version)
+	case errors.Is(err, store.ErrUnavailable):
+		return c.refuse(ReasonStore)
+	case !errors.Is(err, store.ErrConflict):
+		c.loose = true
+	}
+	return claimStep{read: true}
+}
+
+// read takes the row as it was read.
+func (c *claiming) read(row store.Row, err error, now time.Time) claimStep {
+	late := !now.Before(c.request.Deadline)
+	switch {
+	case errors.Is(err, store.ErrNotFound) && late:
+		return c.refuse(ReasonDeadline)
+	case errors.Is(err, store.ErrNotFound):
+		return c.put(0)
+	case err != nil && late:
+		return c.refuse(ReasonStore)
+	case err != nil:
+		return claimStep{wait: true}
+	}
+	intent, err := DecodeIntent(row.Value)
+	if err != nil {
+		return c.unknown(ReasonDamaged)
+	}
+	if intent.Claim == c.claim {
+		return c.own(intent, row.Version)
+	}
+	return c.others(intent, row.Version, late)
+}
+
+// own goes on with the claim's own row, which a commit with a lost answer has
+// written.
+func (c *claiming) own(intent *IntentRow, version int64) claimStep {
+	if intent.State != IntentPlanned {
+		return c.unknown(ReasonOutcomeUnknown)
+	}
+	return c.run(version)
+}
+
+// others answers by the row of another claim.
+func (c *claiming) others(intent *IntentRow, version int64, late bool) claimStep {
+	if intent.Digest != c.request.Digest {
+		return claimStep{reply: &ClaimReply{Refusal: refuse(ReasonConflict)}}
+	}
+	switch intent.State {
+	case IntentDone:
+		return claimStep{reply: replayOf(intent)}
+	case IntentNotRun:
+		if late {
+			return claimStep{reply: &ClaimReply{Refusal: refuse(ReasonDeadline)}}
+		}
+		return c.put(version)
+	case IntentPlanned:
+		if !late && c.live(intent.Dispatcher) {
+			return claimStep{wait: true}
+		}
+	}
+	return c.unknown(ReasonOutcomeUnknown)
+}
+
+func (c *claiming) run(version int64) claimStep {
+	c.loose = false
+	claim := &Claim{RowKey: c.key(), Version: version, Row: c.row()}
+	return claimStep{reply: &ClaimReply{Run: claim}}
+}
+
+// refuse gives up without knowing the row.
+func (c *claiming) refuse(reason Reason) claimStep {
+	if !c.request.Generated {
+		return c.unknown(reason)
+	}
+	return claimStep{reply: &ClaimReply{Refusal: refuse(reason)}}
+}
+
+func (c *claiming) unknown(reason Reason) claimStep {
+	return claimStep{reply: &ClaimReply{Refusal: &Refusal{
+		Reason:    reason,
+		RunState:  Unknown,
+		Retryable: retryable(reason),
+	}}}
+}
+
+func replayOf(intent *IntentRow) *ClaimReply {
+	if intent.Object != "" {
+		return &ClaimReply{object: &objectRef{name: intent.Object, digest: intent.ObjectDigest}}
+	}
+	return &ClaimReply{Replay: intent.Answer}
+}
--- /dev/null
+++ b/prog/coreload.go
@@ -0,0 +1,246 @@
+package prog
+
+import (
+	"slices"
+	"time"
+)
+
+func (c *Core) load(f *family) {
+	if f.loading {
+		return
+	}
+	f.loading = true
+	c.actions = append(c.actions, Action{Load: &Load{Root: f.root}})
+}
+
+// Loaded takes what was read of a family, or the error.
+func (c *Core) Loaded(root string, result *LoadResult, err error, now time.Time) []Action {
+	f := c.families.Get(root)
+	if f == nil || !f.loading {
+		return nil
+	}
+	f.loading = false
+	switch {
+	case err != nil:
+		c.loadFailed(f, now)
+	case f.phase == phaseLoading:
+		c.loadedFirst(f, result, now)
+	default:
+		c.reconcile(f, result, now)
+	}
+	c.advance(f, now)
+	return c.take()
+}
+
+func (c *Core) loadFailed(f *family, now time.Time) {
+	if f.phase == phaseLoading {
+		c.forget(f, ReasonStore)
+		return
+	}
+	f.retryAt = now.Add(c.options.RetryInterval)
+	parked := f.parked
+	f.parked = nil
+	for _, p := range parked {
+		c.refuseParked(p, ReasonStore)
+	}
+}
+
+func (c *Core) loadedFirst(f *family, result *LoadResult, now time.Time) {
+	if result.Row.Version == 0 {
+		c.loadedNothing(f, now)
+		return
+	}
+	fresh, err := restore(result, now)
+	if err != nil {
+		c.stats.Damaged++
+		c.forget(f, ReasonDamaged)
+		return
+	}
+	f.take(fresh)
+	c.unpark(f, now)
+}
+
+// loadedNothing opens a program whose opening another home did not get
+// through, or refuses what waits for one that there is not.
+func (c *Core) loadedNothing(f *family, now time.Time) {
+	for _, p := range f.parked {
+		if p.open != nil && p.open.Parent == "" {
+			c.found(f, p.open, now)
+			c.unpark(f, now)
+			return
+		}
+	}
+	c.forget(f, ReasonUnknownProgram)
+}
+
+// take puts the table's state in place of the family's.
+func (f *family) take(fresh *family) {
+	f.team = fresh.team
+	f.ledger = fresh.ledger
+	f.agents = fresh.agents
+	f.ended = fresh.ended
+	f.version = fresh.version
+	f.needsMark = false
+	f.doubtful = nil
+	f.unsure = false
+	f.saved = f.revision
+	f.phase = phaseReady
+}
+
+func (c *Core) unpark(f *family, now time.Time) {
+	parked := f.parked
+	f.parked = nil
+	for _, p := range parked {
+		c.handle(f, p, now)
+	}
+}
+
+// reconcile compares the table with a family whose last commit failed or is
+// in doubt.
+func (c *Core) reconcile(f *family, result *LoadResult, now time.Time) {
+	mine := f.writtenBy(result.Row.Value)
+	switch {
+	case result.Row.Version == f.version:
+		f.unsure = false
+		f.phase = phaseReady
+	case mine >= 0:
+		c.landed(f, f.doubtful[mine], result.Row.Version)
+		f.phase = phaseReady
+	case result.Row.Version == 0:
+		c.stats.Damaged++
+		c.forget(f, ReasonDamaged)
+		return
+	default:
+		if !c.rebase(f, result, now) {
+			return
+		}
+	}
+	c.unpark(f, now)
+}
+
+// writtenBy returns which of the doubtful flights wrote a row, or -1.
+func (f *family) writtenBy(value []byte) int {
+	row, err := DecodeFamily(value)
+	if err != nil {
+		return -1
+	}
+	return slices.IndexFunc(f.doubtful, func(fl *flight) bool {
+		return fl.requestID == row.Commit
+	})
+}
+
+// rebase takes another home's state over and puts on it what still fits of
+// this home's.
+func (c *Core) rebase(f *family, result *LoadResult, now time.Time) bool {
+	fresh, err := restore(result, now)
+	if err != nil {
+		c.stats.Damaged++
+		c.forget(f, ReasonDamaged)
+		return false
+	}
+	if fresh.team != f.team || fresh.agents[0].key != f.agents[0].key {
+		c.forget(f, ReasonUnknownProgram)
+		return false
+	}
+	old := f.agents
+	f.take(fresh)
+	for _, a := range old {
+		c.rebaseAgent(f, a)
+	}
+	c.wakeWaiters(f)
+	return true
+}
+
+func (c *Core) rebaseAgent(f *family, old *agent) {
+	a := f.agent(old.program)
+	if a == nil {
+		a = f.readopt(old)
+	}
+	if a == nil || a.key != old.key {
+		c.orphan(old)
+		return
+	}
+	c.rebaseTurns(f, a, old)
+	if old.running != nil && a.fits(old.running) {
+		a.running = old.running
+		a.running.foreign = true
+	}
+	a.queue = old.queue
+	a.engines = old.engines
+	if old.ended && !a.ended {
+		a.ended = true
+		f.ended = f.agents[0].ended
+		f.change()
+	}
+}
+
+// readopt adds a sub-agent that this home opened and the table lacks.
+func (f *family) readopt(old *agent) *agent {
+	if f.agent(parentOf(old.program)) == nil || len(f.agents) >= maxAgents {
+		return nil
+	}
+	f.agents = append(f.agents, newAgent(old.program, f.team, old.key))
+	f.change()
+	return f.agents[len(f.agents)-1]
+}
+
+func (c *Core) rebaseTurns(f *family, a, old *agent) {
+	first := len(old.turns) - len(old.pendingTurns())
+	for i := first; i < len(old.turns); i++ {
+		t := old.turns[i]
+		switch {
+		case i < len(a.turns) && a.turns[i].digest == t.digest:
+			c.keep(t)
+		case i == len(a.turns) && t.pending.previous == a.head():
+			a.turns = append(a.turns, t)
+			f.ledger.SettleDead(t.usage)
+		default:
+			c.lose(a, t, i+1)
+		}
+	}
+}
+
+// lose answers the reports of a turn that another call has taken.
+func (c *Core) lose(a *agent, t *turn, number int) {
+	var stored *Stored
+	if number <= len(a.turns) {
+		stored = a.turns[number-1].stored(number)
+	}
+	for _, w := range t.pending.waiters {
+		c.supersede(w.ticket, stored)
+	}
+}
+
+// orphan answers what waits on a sub-agent that the table does not take.
+func (c *Core) orphan(old *agent) {
+	for _, t := range old.pendingTurns() {
+		for _, w := range t.pending.waiters {
+			c.supersede(w.ticket, nil)
+		}
+	}
+	for _, e := range old.queue {
+		c.refuseBegin(e.ticket, ReasonUnknownProgram)
+	}
+}
+
+func (a *agent) fits(run *running) bool {
+	return run.start.Turn == a.next() && run.start.Previous == a.head()
+}
+
+// wakeWaiters answers those who waited for what the table now has.
+func (c *Core) wakeWaiters(f *family) {
+	for i := range f.waiters {
+		w := &f.waiters[i]
+		w.revision = f.revision
+		if w.kept.Open != nil && f.agent(w.kept.Open.Program) == nil {
+			w.kept = Reply{Open: &OpenReply{Refusal: refuse(ReasonConflict)}}
+		}
+	}
+	if f.revision != f.saved {
+		return
+	}
+	for _, w := range f.waiters {
+		c.reply(w.ticket, w.kept)
+	}
+	f.waiters = nil
+}
--- /dev/null
+++ b/prog/coreopen.go
@@ -0,0 +1,136 @@
+package prog
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// create makes a root program that is not in the table.
+func (c *Core) create(r *OpenRequest, now time.Time) {
+	f := c.families.Put(r.Program, family{root: r.Program, touched: now})
+	c.found(f, r, now)
+}
+
+// found sets a new family up. Its first chunk may be spent before the row is
+// committed, unless another home may have done so.
+func (c *Core) found(f *family, r *OpenRequest, now time.Time) {
+	f.team = r.Team
+	f.phase = phaseReady
+	f.needsMark = r.Resent
+	f.ledger = Ledger{
+		Budget:   c.options.fill(r.Budget),
+		Since:    now,
+		OpenedAt: now.Round(0),
+	}
+	first := f.ledger.Chunk(c.options.ChunkParts)
+	f.ledger.Mark = first
+	if r.Resent {
+		f.ledger.Spent = first
+		f.ledger.Dead = first
+	}
+	f.agents = []*agent{newAgent(r.Program, r.Team, r.Key)}
+	f.change()
+}
+
+// open answers for a program in memory, and adds sub-agents.
+func (c *Core) open(f *family, t Ticket, r *OpenRequest, now time.Time) {
+	program, refusal := c.opened(f, r)
+	if refusal != nil {
+		c.replyOpen(t, &OpenReply{Refusal: refusal})
+		return
+	}
+	f.touched = now
+	c.await(f, t, now,
+		Reply{Open: &OpenReply{Program: program, Kept: true}},
+		Reply{Open: &OpenReply{Program: program}})
+}
+
+func (c *Core) opened(f *family, r *OpenRequest) (string, *Refusal) {
+	if f.team != r.Team {
+		return "", refuse(ReasonUnknownProgram)
+	}
+	if r.Parent == "" {
+		if f.agents[0].key != r.Key {
+			return "", refuse(ReasonUnknownProgram)
+		}
+		return r.Program, nil
+	}
+	parent := f.agent(r.Parent)
+	if parent == nil {
+		return "", refuse(ReasonUnknownProgram)
+	}
+	id := childID(r.Parent, r.Key)
+	if a := f.agent(id); a != nil && a.key == r.Key {
+		return id, nil
+	} else if a != nil {
+		return "", refuse(ReasonConflict)
+	}
+	return id, f.addAgent(parent, id, r.Key)
+}
+
+func (f *family) addAgent(parent *agent, id, key string) *Refusal {
+	if f.ended || parent.ended {
+		return refuse(ReasonEnded)
+	}
+	if len(f.agents) >= maxAgents || len(id) > maxIDBytes {
+		return refuse(ReasonTooManyAgents)
+	}
+	f.agents = append(f.agents, newAgent(id, f.team, key))
+	f.change()
+	return nil
+}
+
+// close ends a program and its sub-agents, and releases their caches.
+func (c *Core) close(f *family, t Ticket, r *CloseRequest, now time.Time) {
+	if f.team != r.Team || f.agent(r.Program) == nil {
+		c.replyClose(t, &CloseReply{Refusal: refuse(ReasonUnknownProgram)})
+		return
+	}
+	for _, a := range f.agents {
+		if !a.ended && (a.program == r.Program || strings.HasPrefix(a.program, r.Program+".")) {
+			a.ended = true
+			f.change()
+			c.release(a)
+		}
+	}
+	f.ended = f.agents[0].ended
+	f.touched = now
+	c.await(f, t, now, Reply{Close: &CloseReply{Kept: true}}, Reply{Close: &CloseReply{}})
+}
+
+// release gives an agent's cache back, at most once for each use.
+func (c *Core) release(a *agent) {
+	if len(a.engines) == 0 {
+		return
+	}
+	c.actions = append(c.actions, Action{Release: &Release{
+		Program: a.program,
+		Engines: slices.Clone(a.engines),
+	}})
+	a.engines = nil
+}
+
+// await answers at once if the table has the family's present state, else
+// when it has or when the bound has passed.
+func (c *Core) await(f *family, t Ticket, now time.Time, kept, notKept Reply) {
+	if f.revision == f.saved {
+		c.reply(t, kept)
+		return
+	}
+	f.waiters = append(f.waiters, waiter{
+		ticket:   t,
+		until:    now.Add(c.options.KeptBound),
+		revision: f.revision,
+		kept:     kept,
+		notKept:  notKept,
+	})
+}
+
+func parentOf(program string) string {
+	i := strings.LastIndexByte(program, '.')
+	if i < 0 {
+		return ""
+	}
+	return program[:i]
+}
--- /dev/null
+++ b/prog/family.go
@@ -0,0 +1,250 @@
+package prog
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// phaseLoading: nothing is known yet; requests are parked.
+	phaseLoading phase = iota
+	// phaseReady: the family is usable.
+	phaseReady
+	// phaseStale: another home wrote the row; requests are parked until the
+	// family is loaded again.
+	phaseStale
+)
+
+type (
+	phase int
+
+	// family is a root program with its sub-agents at one home.
+	family struct {
+		root   string
+		team   string
+		phase  phase
+		ledger Ledger
+		agents []*agent
+		ended  bool
+		// idle is set once the cache was released after a pause.
+		idle bool
+		// leaving is set once the shard was given up.
+		leaving bool
+		// trimming has the next commit give unused reservations back.
+		trimming bool
+		// version is the row's version as last known; zero if it is not in
+		// the table.
+		version int64
+		// needsMark is set until the opening mark is in the table, for a
+		// program that another home may have opened, too.
+		needsMark bool
+		flight    *flight
+		// doubtful are the latest flights that may yet take effect.
+		doubtful []*flight
+		// unsure is set while the row must be read before the next commit.
+		unsure  bool
+		loading bool
+		// revision rises with each change of the row besides turns; saved is
+		// the revision that is in the table.
+		revision int
+		saved    int
+		// need is what waiting calls lack below the mark.
+		need    Usage
+		retryAt time.Time
+		parked  []parked
+		waiters []waiter
+		touched time.Time
+		wakeAt  time.Time
+	}
+
+	// agent is one program of a family.
+	agent struct {
+		program string
+		key     string
+		ended   bool
+		turns   []*turn
+		first   string
+		running *running
+		queue   []*entry
+		engines []string
+	}
+
+	// running is the call that has the program's turn.
+	running struct {
+		request  BeginRequest
+		start    *Start
+		reserved Usage
+		// foreign is set if another home reserved for the call.
+		foreign bool
+	}
+
+	// entry is a call that waits for its turn.
+	entry struct {
+		request BeginRequest
+		// ticket is zero while the asker is between two requests.
+		ticket Ticket
+		until  time.Time
+	}
+
+	// waiter is a request that waits until its revision or, if that is zero,
+	// its turn is committed.
+	waiter struct {
+		ticket   Ticket
+		until    time.Time
+		revision int
+		kept     Reply
+		notKept  Reply
+	}
+
+	// parked is a request that waits for the family to be loaded.
+	parked struct {
+		ticket Ticket
+		until  time.Time
+		open   *OpenRequest
+		begin  *BeginRequest
+		end    *EndRequest
+		close  *CloseRequest
+		resume *Running
+	}
+
+	// flight is a commit whose outcome is not known yet.
+	flight struct {
+		requestID string
+		mark      Usage
+		turns     []*turn
+		revision  int
+	}
+)
+
+func newAgent(program, team, key string) *agent {
+	return &agent{program: program, key: key, first: FirstDigest(program, team, key)}
+}
+
+func (a *agent) head() string {
+	if len(a.turns) == 0 {
+		return a.first
+	}
+	return a.turns[len(a.turns)-1].digest
+}
+
+func (a *agent) next() int { return len(a.turns) + 1 }
+
+// completed returns the number of the turn of a call id, or zero.
+func (a *agent) completed(callID string) int {
+	for i, t := range slices.Backward(a.turns) {
+		if t.callID == callID {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+func (a *agent) history() []Message {
+	count := 0
+	for _, t := range a.turns {
+		if t.kind == KindModel {
+			count += len(t.messages) + 1
+		}
+	}
+	messages := make([]Message, 0, count)
+	for _, t := range a.turns {
+		if t.kind == KindModel {
+			messages = append(append(messages, t.messages...), t.answer)
+		}
+	}
+	return messages
+}
+
+// cached notes that an engine holds the program's prefix.
+func (a *agent) cached(engine string) {
+	if engine == "" {
+		return
+	}
+	a.engines = slices.DeleteFunc(a.engines, func(s string) bool { return s == engine })
+	a.engines = append(a.engines, engine)
+}
+
+func (f *family) agent(program string) *agent {
+	for _, a := range f.agents {
+		if a.program == program {
+			return a
+		}
+	}
+	return nil
+}
+
+// pending returns the turns that are not surely in the table.
+func (f *family) pending() []*turn {
+	var turns []*turn
+	for _, a := range f.agents {
+		turns = append(turns, a.pendingTurns()...)
+	}
+	return turns
+}
+
+// pendingTurns returns the agent's turns that are not surely in the table;
+// they are always its last ones.
+func (a *agent) pendingTurns() []*turn {
+	i := len(a.turns)
+	for i > 0 && a.turns[i-1].pending != nil {
+		i--
+	}
+	return a.turns[i:]
+}
+
+// limit is what the family may spend up to.
+func (f *family) limit() Usage {
+	if f.needsMark {
+		return Usage{}
+	}
+	return f.ledger.Mark
+}
+
+func (f *family) busy() bool {
+	for _, a := range f.agents {
+		if a.running != nil || len(a.queue) > 0 {
+			return true
+		}
+	}
+	return len(f.parked) > 0
+}
+
+// unsaved reports whether the table may lack something of the family.
+func (f *family) unsaved() bool {
+	return f.flight != nil || f.unsure || f.revision != f.saved || f.hasPending()
+}
+
+func (f *family) hasPending() bool {
+	return slices.ContainsFunc(f.agents, func(a *agent) bool {
+		return len(a.turns) > 0 && a.turns[len(a.turns)-1].pending != nil
+	})
+}
+
+// change notes that the row differs from the table's.
+func (f *family) change() { f.revision++ }
+
+// row returns the family's row with the mark that a commit asks for.
+func (f *family) row(mark Usage, home string, now time.Time) *FamilyRow {
+	row := &FamilyRow{
+		Program:        f.root,
+		Team:           f.team,
+		Budget:         f.ledger.Budget,
+		OpenedAtMillis: f.ledger.OpenedAt.UnixMilli(),
+		ElapsedMillis:  f.ledger.Used(now).Milliseconds(),
+		Spent:          f.ledger.Spent.Sub(f.ledger.Dead),
+		Reserved:       mark,
+		Ended:          f.ended,
+		Home:           home,
+		Agents:         make([]AgentRow, 0, len(f.agents)),
+	}
+	for _, a := range f.agents {
+		row.Agents = append(row.Agents, AgentRow{
+			Program: a.program,
+			Key:     a.key,
+			Turns:   len(a.turns),
+			Head:    a.head(),
+			Ended:   a.ended,
+		})
+	}
+	return row
+}
--- /dev/null
+++ b/prog/intents.go
@@ -0,0 +1,208 @@
+package prog
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+const intentPoll = 100 * time.Millisecond
+
+type (
+	// Intents runs calls that may not be repeated at most once. It is safe
+	// for concurrent use.
+	Intents struct {
+		common    *common.Common
+		table     store.Table
+		objects   store.Objects
+		committer Committer
+		self      Dispatcher
+		live      func(Dispatcher) bool
+
+		mu      sync.Mutex
+		count   int64
+		pending []*settling
+	}
+
+	// IntentsOptions are what Intents works with.
+	IntentsOptions struct {
+		Common    *common.Common
+		Table     store.Table
+		Objects   store.Objects
+		Committer Committer
+		Self      Dispatcher
+		// Live reports whether a dispatcher is believed to run. A wrong answer
+		// costs time or gives an unknown outcome, never a second dispatch.
+		Live func(Dispatcher) bool
+	}
+)
+
+// NewIntents returns an Intents. Sweep must be called often, such as every
+// second.
+func NewIntents(o IntentsOptions) *Intents {
+	return &Intents{
+		common:    o.Common.Part("calls"),
+		table:     o.Table,
+		objects:   o.Objects,
+		committer: o.Committer,
+		self:      o.Self,
+		live:      o.Live,
+	}
+}
+
+// Claim asks for leave to dispatch a call. It returns before the request's
+// deadline or when the context ends.
+func (i *Intents) Claim(ctx context.Context, r ClaimRequest) *ClaimReply {
+	c := &claiming{request: r, self: i.self, claim: i.claimID(), live: i.live}
+	step := c.put(0)
+	for step.reply == nil {
+		step = i.claimStep(ctx, c, step)
+	}
+	if c.loose {
+		row := c.row()
+		row.State = IntentNotRun
+		s, _ := newSettling(Claim{RowKey: c.key(), Row: row}, row)
+		i.postpone(s)
+	}
+	if step.reply.object != nil {
+		return i.replayObject(ctx, step.reply.object)
+	}
+	return step.reply
+}
+
+// Settle records the answer of a dispatched call.
+func (i *Intents) Settle(ctx context.Context, c *Claim, answer CallAnswer) (kept bool) {
+	row := c.Row
+	row.State = IntentDone
+	if len(answer.Body) <= maxInlineBytes {
+		row.Answer = &answer
+		return i.settle(ctx, c, row)
+	}
+	body := mustEncode(&answer)
+	row.ObjectDigest = digestOf(body)
+	row.Object = c.RowKey + "-" + row.ObjectDigest
+	if err := i.objects.PutObject(ctx, row.Object, body); err != nil {
+		i.common.Log.Warn("Cannot put the answer.", "key", c.RowKey, "error", err)
+		row.State = IntentUnknown
+		row.Object = ""
+	}
+	return i.settle(ctx, c, row)
+}
+
+// SettleNotRun records that the call surely was not dispatched: not a byte of
+// it was written to an upstream. A resend may then claim it.
+func (i *Intents) SettleNotRun(ctx context.Context, c *Claim) (kept bool) {
+	row := c.Row
+	row.State = IntentNotRun
+	return i.settle(ctx, c, row)
+}
+
+// SettleUnknown records that the call was dispatched and that its answer was
+// not received.
+func (i *Intents) SettleUnknown(ctx context.Context, c *Claim) (kept bool) {
+	row := c.Row
+	row.State = IntentUnknown
+	return i.settle(ctx, c, row)
+}
+
+// Sweep tries the settlements again that the store did not take.
+func (i *Intents) Sweep(ctx context.Context) {
+	i.mu.Lock()
+	pending := i.pending
+	i.pending = nil
+	i.mu.Unlock()
+	for _, s := range pending {
+		if !i.drive(ctx, s, settleStep{read: true}) {
+			i.postpone(s)
+		}
+	}
+}
+
+// Pending returns the number of settlements that the store has not taken.
+func (i *Intents) Pending() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.pending)
+}
+
+func (i *Intents) claimStep(ctx context.Context, c *claiming, step claimStep) claimStep {
+	switch {
+	case step.commit != nil:
+		return c.committed(i.committer.Commit(ctx, *step.commit))
+	case step.wait:
+		i.pause(ctx)
+	}
+	row, err := i.table.Get(ctx, c.key())
+	now := i.common.Clock.Now()
+	if ctx.Err() != nil {
+		now = c.request.Deadline
+	}
+	return c.read(row, err, now)
+}
+
+func (i *Intents) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(intentPoll):
+	}
+}
+
+func (i *Intents) settle(ctx context.Context, c *Claim, row IntentRow) bool {
+	s, step := newSettling(*c, row)
+	if i.drive(ctx, s, step) {
+		return true
+	}
+	i.postpone(s)
+	return false
+}
+
+// drive takes a settlement as far as the store lets it and reports whether it
+// is done.
+func (i *Intents) drive(ctx context.Context, s *settling, step settleStep) bool {
+	for {
+		switch {
+		case step.commit != nil:
+			_, err := i.committer.Commit(ctx, *step.commit)
+			step = s.committed(err)
+		case step.read:
+			step = s.read(i.table.Get(ctx, s.claim.RowKey))
+		default:
+			return !step.wait
+		}
+	}
+}
+
+func (i *Intents) postpone(s *settling) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.pending = append(i.pending, s)
+}
+
+func (i *Intents) claimID() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.count++
+	return i.self.Instance + "/" + i.self.Epoch + "/c" + strconv.FormatInt(i.count, 36)
+}
+
+func (i *Intents) replayObject(ctx context.Context, ref *objectRef) *ClaimReply {
+	refusal := &Refusal{Reason: ReasonStore, RunState: Ran, Retryable: true}
+	body, err := i.objects.GetObject(ctx, ref.name)
+	if errors.Is(err, store.ErrNotFound) {
+		refusal = &Refusal{Reason: ReasonDamaged, RunState: Ran}
+	}
+	if err != nil {
+		return &ClaimReply{Refusal: refusal}
+	}
+	answer, err := decodeAnswer(body, ref.digest)
+	if err != nil {
+		return &ClaimReply{Refusal: &Refusal{Reason: ReasonDamaged, RunState: Ran}}
+	}
+	return &ClaimReply{Replay: answer}
+}
--- /dev/null
+++ b/prog/keeper.go
@@ -0,0 +1,234 @@
+package prog
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+type (
+	// Keeper drives a Core with a store. It is safe for concurrent use.
+	Keeper struct {
+		common    *common.Common
+		table     store.Table
+		objects   store.Objects
+		committer Committer
+		timeout   time.Duration
+		release   func(Release)
+		group     *group.Group
+
+		mu      sync.Mutex
+		core    *Core
+		random  *rand.Rand
+		tickets Ticket
+		waiting map[Ticket]chan Reply
+	}
+
+	// KeeperOptions are what a Keeper works with.
+	KeeperOptions struct {
+		Core      Options
+		Common    *common.Common
+		Table     store.Table
+		Objects   store.Objects
+		Committer Committer
+		Random    *rand.Rand
+		// Release is called, outside of locks, for each program whose cache
+		// the engines may drop. It must not block.
+		Release func(Release)
+	}
+)
+
+// NewKeeper returns a Keeper without programs. Tick must be called often,
+// such as every 50 ms.
+func NewKeeper(ctx context.Context, o KeeperOptions) *Keeper {
+	return &Keeper{
+		common:    o.Common.Part("prog"),
+		table:     o.Table,
+		objects:   o.Objects,
+		committer: o.Committer,
+		timeout:   time.Duration(o.Common.Settings.StoreTimeout),
+		release:   o.Release,
+		group:     group.NewGroup(ctx),
+		core:      NewCore(o.Core),
+		random:    o.Random,
+		waiting:   make(map[Ticket]chan Reply),
+	}
+}
+
+// NewRoot returns the id of a new root program.
+func (k *Keeper) NewRoot() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return NewRoot(k.random)
+}
+
+// Open opens a root program or a sub-agent.
+func (k *Keeper) Open(ctx context.Context, r OpenRequest) (*OpenReply, error) {
+	program := r.Program
+	if r.Parent != "" {
+		program = r.Parent
+	}
+	reply, err := k.ask(ctx, program, func(t Ticket, now time.Time) []Action {
+		return k.core.Open(t, r, now)
+	})
+	return reply.Open, err
+}
+
+// Begin waits for the program's turn. An error means that the asker left and
+// that the call was not started, or that its Start was lost and the same
+// Attempt may be sent again.
+func (k *Keeper) Begin(ctx context.Context, r BeginRequest) (*BeginReply, error) {
+	reply, err := k.ask(ctx, r.Program, func(t Ticket, now time.Time) []Action {
+		return k.core.Begin(t, r, now)
+	})
+	return reply.Begin, err
+}
+
+// End reports how a call ended and waits for the commit, up to a bound.
+func (k *Keeper) End(ctx context.Context, r EndRequest) (*EndReply, error) {
+	reply, err := k.ask(ctx, r.Program, func(t Ticket, now time.Time) []Action {
+		return k.core.End(t, r, now)
+	})
+	return reply.End, err
+}
+
+// CloseProgram ends a program and its sub-agents.
+func (k *Keeper) CloseProgram(ctx context.Context, r CloseRequest) (*CloseReply, error) {
+	reply, err := k.ask(ctx, r.Program, func(t Ticket, now time.Time) []Action {
+		return k.core.CloseProgram(t, r, now)
+	})
+	return reply.Close, err
+}
+
+// Resume tells this home of a call that a relaying instance runs for an
+// earlier home.
+func (k *Keeper) Resume(r Running) {
+	k.tell(func(now time.Time) []Action { return k.core.Resume(r, now) })
+}
+
+// Tick does what has become due.
+func (k *Keeper) Tick() { k.tell(k.core.Tick) }
+
+// Cached notes that an engine holds a program's prefix.
+func (k *Keeper) Cached(program, engine string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.core.Cached(program, engine)
+}
+
+// Hold stops new turns of a shard until Lift. A new home calls it before it
+// asks the relaying instances for what they carry.
+func (k *Keeper) Hold(shard int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.core.Hold(shard)
+}
+
+// Lift lets the turns of a shard start.
+func (k *Keeper) Lift(shard int) {
+	k.tell(func(now time.Time) []Action { return k.core.Lift(shard, now) })
+}
+
+// RelayGone drops the running calls of an instance that has died.
+func (k *Keeper) RelayGone(relay string) {
+	k.tell(func(now time.Time) []Action { return k.core.RelayGone(relay, now) })
+}
+
+// Unload gives a shard up and waits until its unused reservations are given
+// back; when the context ends the shard is dropped as it is.
+func (k *Keeper) Unload(ctx context.Context, shard int) error {
+	k.tell(func(now time.Time) []Action { return k.core.Unload(shard, now) })
+	ticker := time.NewTicker(unloadPoll)
+	defer ticker.Stop()
+	for k.remaining(shard) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			k.tell(func(time.Time) []Action { return k.core.Drop(shard) })
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Close cancels what is on its way to the store and waits for it.
+func (k *Keeper) Close() { k.group.Close() }
+
+func (k *Keeper) remaining(shard int) int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.Remaining(shard)
+}
+
+// ask sends a request to the core and waits for its reply.
+func (k *Keeper) ask(ctx context.Context, program string, send func(Ticket, time.Time) []Action) (Reply, error) {
+	answer := make(chan Reply, 1)
+	k.mu.Lock()
+	k.tickets++
+	t := k.tickets
+	k.waiting[t] = answer
+	actions := send(t, k.common.Clock.Now())
+	k.mu.Unlock()
+	k.act(actions)
+	select {
+	case reply := <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return k.stopAsking(t, program, answer, ctx.Err())
+	case <-k.group.Context().Done():
+		return k.stopAsking(t, program, answer, ErrClosed)
+	}
+}
+
+// stopAsking takes a request back, unless its reply came at that moment.
+func (k *Keeper) stopAsking(t Ticket, program string, answer chan Reply, cause error) (Reply, error) {
+	k.tell(func(now time.Time) []Action {
+		delete(k.waiting, t)
+		return k.core.Cancel(t, program, now)
+	})
+	select {
+	case reply := <-answer:
+		return reply, nil
+	default:
+		return Reply{}, errors.Trace(cause)
+	}
+}
+
+// tell sends the core something that has no reply.
+func (k *Keeper) tell(send func(time.Time) []Action) {
+	k.mu.Lock()
+	actions := send(k.common.Clock.Now())
+	k.mu.Unlock()
+	k.act(actions)
+}
+
+func (k *Keeper) act(actions []Action) {
+	for _, a := range actions {
+		switch {
+		case a.Reply != nil:
+			k.answer(a.Reply)
+		case a.Load != nil:
+			k.group.Go(func(ctx context.Context) { k.load(ctx, a.Load.Root) })
+		case a.Commit != nil:
+			k.group.Go(func(ctx context.Context) { k.commit(ctx, a.Commit) })
+		case a.Release != nil && k.release != nil:
+			k.release(*a.Release)
+		}
+	}
+}
+
+func (k *Keeper) answer(r *Reply) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if answer, ok := k.waiting[r.Ticket]; ok {
+		delete(k.waiting, r.Ticket)
+		answer <- *r
+	}
+}
--- /dev/null
+++ b/prog/options.go
@@ -0,0 +1,76 @@
+package prog
+
+import (
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+)
+
+const (
+	maxIDBytes     = 200
+	maxInlineBytes = 16 << 10 // bytes of a turn's body that stay in its row
+	maxAgents      = 256
+	maxQueue       = 64
+	rangeRows      = 256
+)
+
+// Options are a Core's fixed settings.
+type Options struct {
+	// Instance is the instance's name.
+	Instance string
+	// Epoch differs at each start of the instance.
+	Epoch string
+	// DefaultBudget fills a budget's zero fields.
+	DefaultBudget conf.Budget
+	// ChunkParts is how many chunks a budget is reserved in.
+	ChunkParts int64
+	// KeptBound is how long Open, End and Close wait for their commit.
+	KeptBound time.Duration
+	// WaitBound is how long a Begin waits before it is answered with Wait.
+	WaitBound time.Duration
+	// WaitGrace is how long the place of a Begin answered with Wait is held.
+	WaitGrace time.Duration
+	// RetryInterval is the time between two tries at the store.
+	RetryInterval time.Duration
+	// CallTimeout bounds a call that came without a deadline.
+	CallTimeout time.Duration
+	// RunGrace is how long past its deadline a running call's report is
+	// waited for.
+	RunGrace time.Duration
+	// IdleTimeout is how long a program may pause before its cache is
+	// released.
+	IdleTimeout time.Duration
+	// Linger is how long an ended or idle program stays in memory.
+	Linger time.Duration
+}
+
+// DefaultOptions returns options for an instance.
+func DefaultOptions(instance, epoch string) Options {
+	return Options{
+		Instance:      instance,
+		Epoch:         epoch,
+		DefaultBudget: conf.Budget{Calls: 1000, Tokens: 4_000_000, Seconds: 3600},
+		ChunkParts:    8,
+		KeptBound:     time.Second,
+		WaitBound:     20 * time.Second,
+		WaitGrace:     5 * time.Second,
+		RetryInterval: 200 * time.Millisecond,
+		CallTimeout:   2 * time.Minute,
+		RunGrace:      5 * time.Second,
+		IdleTimeout:   5 * time.Minute,
+		Linger:        30 * time.Second,
+	}
+}
+
+func (o *Options) fill(b conf.Budget) conf.Budget {
+	if b.Calls <= 0 {
+		b.Calls = o.DefaultBudget.Calls
+	}
+	if b.Tokens <= 0 {
+		b.Tokens = o.DefaultBudget.Tokens
+	}
+	if b.Seconds <= 0 {
+		b.Seconds = o.DefaultBudget.Seconds
+	}
+	return b
+}
--- /dev/null
+++ b/prog/turn.go
@@ -0,0 +1,82 @@
+package prog
+
+import "encoding/json"
+
+// turn is one completed call in memory.
+type turn struct {
+	callID        string
+	requestDigest string
+	digest        string
+	kind          Kind
+	messages      []Message
+	answer        Message
+	usage         Usage
+	promptTokens  int64
+	engine        string
+	// pending is set until the turn is in the table.
+	pending *pendingTurn
+}
+
+// pendingTurn is a turn that is not surely in the table.
+type pendingTurn struct {
+	key      string
+	previous string
+	value    []byte
+	object   *Object
+	waiters  []waiter
+}
+
+// newTurn builds a turn from a report. Its row depends on nothing but the
+// report, so that every home builds the same.
+func newTurn(r *EndRequest) *turn {
+	body := mustEncode(&TurnBody{Messages: r.NewMessages, Answer: r.Answer})
+	row := TurnRow{
+		Program:       r.Program,
+		Turn:          r.Turn,
+		Previous:      r.Previous,
+		CallID:        r.CallID,
+		RequestDigest: r.Digest,
+		Attempt:       r.Attempt,
+		Relay:         r.Relay,
+		Kind:          r.Kind,
+		PromptTokens:  r.PromptTokens,
+		AnswerTokens:  r.AnswerTokens,
+		Engine:        r.Engine,
+		BodyDigest:    digestOf(body),
+	}
+	p := &pendingTurn{key: TurnKey(r.Program, r.Turn), previous: r.Previous}
+	if len(body) > maxInlineBytes {
+		row.Object = p.key + "-" + row.BodyDigest
+		p.object = &Object{Name: row.Object, Body: body}
+	} else {
+		row.Body = json.RawMessage(body)
+	}
+	p.value = mustEncode(&row)
+	t := turnOf(&row, &TurnBody{Messages: r.NewMessages, Answer: r.Answer})
+	t.digest = digestOf(p.value)
+	t.pending = p
+	return t
+}
+
+func turnOf(row *TurnRow, body *TurnBody) *turn {
+	return &turn{
+		callID:        row.CallID,
+		requestDigest: row.RequestDigest,
+		kind:          row.Kind,
+		messages:      body.Messages,
+		answer:        body.Answer,
+		usage:         Usage{Calls: 1, Tokens: row.PromptTokens + row.AnswerTokens},
+		promptTokens:  row.PromptTokens,
+		engine:        row.Engine,
+	}
+}
+
+func (t *turn) stored(number int) *Stored {
+	return &Stored{
+		Turn:         number,
+		Answer:       t.answer,
+		PromptTokens: t.promptTokens,
+		AnswerTokens: t.usage.Tokens - t.promptTokens,
+		Engine:       t.engine,
+	}
+}
