--- a/conf/checkcycle.go
+++ b/conf/checkcycle.go
@@ -52,7 +52,7 @@
 		s.search(next)
 		return
 	}
-	p := path(nil).member("services").element(service).member("dependsOn").element(i)
+	p := root().member("services").element(service).member("dependsOn").element(i)
 	s.fault(p, "dependency cycle: "+s.cycle(next))
 }
 
--- a/conf/checksettings.go
+++ b/conf/checksettings.go
@@ -20,11 +20,11 @@
 		{"region", s.Region},
 	} {
 		if fault := nameFault(f.value); fault != "" {
-			d.fault(path(nil).member(f.field), fault)
+			d.fault(root().member(f.field), fault)
 		}
 	}
 	if !slices.Contains(logLevels, s.LogLevel) {
-		d.fault(path(nil).member("logLevel"), fmt.Sprintf("unknown level %q; use one of %s", s.LogLevel, strings.Join(logLevels, ", ")))
+		d.fault(root().member("logLevel"), fmt.Sprintf("unknown level %q; use one of %s", s.LogLevel, strings.Join(logLevels, ", ")))
 	}
 }
 
@@ -38,7 +38,7 @@
 		{"peerAddress", s.PeerAddress},
 		{"platformAddress", s.PlatformAddress},
 	} {
-		p := path(nil).member(a.field)
+		p := root().member(a.field)
 		if !isListenAddress(a.address) {
 			d.fault(p, mustBeIPPort)
 			continue
@@ -57,7 +57,7 @@
 		if v.Field(i).Type() != durationType || v.Field(i).Int() > 0 {
 			continue
 		}
-		d.fault(path(nil).member(v.Type().Field(i).Tag.Get("json")), mustBeAboveZero)
+		d.fault(root().member(v.Type().Field(i).Tag.Get("json")), mustBeAboveZero)
 	}
 }
 
--- a/conf/checktext.go
+++ b/conf/checktext.go
@@ -45,7 +45,7 @@
 	c.checkCycles()
 	c.checkTeams()
 	c.checkDomainsOut()
-	c.checkNotNegative(path(nil).member("weightStore").member("loadsPerMinute"), t.WeightStore.LoadsPerMinute)
+	c.checkNotNegative(root().member("weightStore").member("loadsPerMinute"), t.WeightStore.LoadsPerMinute)
 }
 
 // listDomains gathers the failure domains that the text knows.
@@ -67,11 +67,11 @@
 func (c *checker) checkNames() {
 	domains := make(map[string]struct{}, len(c.text.FailureDomains))
 	for i, name := range c.text.FailureDomains {
-		c.checkName(path(nil).member("failureDomains").element(i), name, domains)
+		c.checkName(root().member("failureDomains").element(i), name, domains)
 	}
 	names := make(map[string]struct{}, len(c.text.Services))
 	for i, s := range c.text.Services {
-		c.checkName(path(nil).member("services").element(i).member("name"), s.Name, names)
+		c.checkName(root().member("services").element(i).member("name"), s.Name, names)
 		if _, ok := c.services[s.Name]; !ok {
 			c.services[s.Name] = i
 		}
@@ -80,7 +80,7 @@
 
 // checkName notes a name that is missing, not writable or already in seen,
 // and adds it to seen.
-func (c *checker) checkName(p path, name string, seen map[string]struct{}) {
+func (c *checker) checkName(p *path, name string, seen map[string]struct{}) {
 	if fault := nameFault(name); fault != "" {
 		c.fault(p, fault)
 		return
@@ -106,7 +106,7 @@
 
 func (c *checker) checkServices() {
 	for i, s := range c.text.Services {
-		p := path(nil).member("services").element(i)
+		p := root().member("services").element(i)
 		if s.Kind != KindModel && s.Kind != KindPlain {
 			c.fault(p.member("kind"), fmt.Sprintf("unknown kind %q; use %q or %q", s.Kind, KindModel, KindPlain))
 		}
@@ -117,7 +117,7 @@
 }
 
 // checkServiceNames checks a list that names services.
-func (c *checker) checkServiceNames(p path, names []string) {
+func (c *checker) checkServiceNames(p *path, names []string) {
 	for i, name := range names {
 		if _, ok := c.services[name]; !ok {
 			c.fault(p.element(i), fmt.Sprintf(mustBeUnknown, name))
@@ -128,7 +128,7 @@
 	}
 }
 
-func (c *checker) checkRoutes(p path, routes []Route) {
+func (c *checker) checkRoutes(p *path, routes []Route) {
 	seen := make(map[string]struct{}, len(routes))
 	for i, r := range routes {
 		at := p.element(i).member("path")
@@ -149,7 +149,7 @@
 	seen := make(map[string]struct{})
 	for i, s := range c.text.Services {
 		for j, model := range s.Models {
-			c.checkName(path(nil).member("services").element(i).member("models").element(j), model, seen)
+			c.checkName(root().member("services").element(i).member("models").element(j), model, seen)
 		}
 	}
 }
@@ -159,7 +159,7 @@
 	addresses := make(map[netip.AddrPort]string)
 	for i, s := range c.text.Services {
 		for j, u := range s.Upstreams {
-			p := path(nil).member("services").element(i).member("upstreams").element(j)
+			p := root().member("services").element(i).member("upstreams").element(j)
 			c.checkName(p.member("name"), u.Name, names)
 			c.checkAddress(p.member("address"), u, addresses)
 			c.checkUpstreamDomain(p.member("failureDomain"), u.FailureDomain)
@@ -170,7 +170,7 @@
 
 // checkAddress notes an address that is not IP:port or that another upstream
 // has.
-func (c *checker) checkAddress(p path, u Upstream, addresses map[netip.AddrPort]string) {
+func (c *checker) checkAddress(p *path, u Upstream, addresses map[netip.AddrPort]string) {
 	address, ok := parseAddress(u.Address)
 	if !ok {
 		c.fault(p, mustBeIPPort)
@@ -193,7 +193,7 @@
 	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), true
 }
 
-func (c *checker) checkUpstreamDomain(p path, domain string) {
+func (c *checker) checkUpstreamDomain(p *path, domain string) {
 	if fault := nameFault(domain); fault != "" {
 		c.fault(p, "failure domain: "+fault)
 		return
@@ -203,7 +203,7 @@
 	}
 }
 
-func (c *checker) checkUpstreamNumbers(p path, u Upstream) {
+func (c *checker) checkUpstreamNumbers(p *path, u Upstream) {
 	c.checkNotNegative(p.member("slots"), float64(u.Slots))
 	c.checkNotNegative(p.member("coldSlots"), float64(u.ColdSlots))
 	c.checkNotNegative(p.member("cacheTokens"), float64(u.CacheTokens))
@@ -212,7 +212,7 @@
 	}
 }
 
-func (c *checker) checkNotNegative(p path, n float64) {
+func (c *checker) checkNotNegative(p *path, n float64) {
 	if n < 0 || math.IsNaN(n) {
 		c.fault(p, mustNotBeNegative)
 	}
@@ -221,7 +221,7 @@
 func (c *checker) checkTeams() {
 	names := make(map[string]struct{}, len(c.text.Teams))
 	for i, t := range c.text.Teams {
-		p := path(nil).member("teams").element(i)
+		p := root().member("teams").element(i)
 		c.checkName(p.member("name"), t.Name, names)
 		if !isAmount(t.RatePerSecond) || t.RatePerSecond <= 0 {
 			c.fault(p.member("ratePerSecond"), mustBeAboveZero)
@@ -237,7 +237,7 @@
 // isAmount says that the number is neither infinite nor not a number.
 func isAmount(n float64) bool { return !math.IsNaN(n) && !math.IsInf(n, 0) }
 
-func (c *checker) checkBudget(p path, b Budget) {
+func (c *checker) checkBudget(p *path, b Budget) {
 	c.checkNotNegative(p.member("calls"), float64(b.Calls))
 	c.checkNotNegative(p.member("tokens"), float64(b.Tokens))
 	c.checkNotNegative(p.member("seconds"), float64(b.Seconds))
@@ -245,7 +245,7 @@
 
 func (c *checker) checkDomainsOut() {
 	for i, domain := range c.text.DomainsOut {
-		p := path(nil).member("domainsOut").element(i)
+		p := root().member("domainsOut").element(i)
 		if _, ok := c.domains[domain]; !ok {
 			c.fault(p, fmt.Sprintf("unknown failure domain %q", domain))
 		}
--- a/conf/decode.go
+++ b/conf/decode.go
@@ -23,7 +23,7 @@
 
 // decode fills target from the value and notes each unknown, repeated and
 // wrongly typed field.
-func (d *document) decode(v *hujson.Value, p path, target reflect.Value) {
+func (d *document) decode(v *hujson.Value, p *path, target reflect.Value) {
 	if target.Type() == durationType {
 		d.decodeDuration(v, p, target)
 		return
@@ -38,7 +38,7 @@
 	}
 }
 
-func (d *document) decodeStruct(v *hujson.Value, p path, target reflect.Value) {
+func (d *document) decodeStruct(v *hujson.Value, p *path, target reflect.Value) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
 		d.faultAt(v.StartOffset, p, wantObject)
@@ -73,7 +73,7 @@
 	return reflect.Value{}, false
 }
 
-func (d *document) decodeSlice(v *hujson.Value, p path, target reflect.Value) {
+func (d *document) decodeSlice(v *hujson.Value, p *path, target reflect.Value) {
 	if isNull(v) {
 		return
 	}
@@ -95,13 +95,13 @@
 	return ok && literal.Kind() == 'n'
 }
 
-func (d *document) decodeDuration(v *hujson.Value, p path, target reflect.Value) {
+func (d *document) decodeDuration(v *hujson.Value, p *path, target reflect.Value) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
 		d.faultAt(v.StartOffset, p, wantDuration)
 		return
 	}
-	parsed, err := time.ParseDuration(literal.String())
+	parsed, err := time.ParseDuration(unquote(literal))
 	if err != nil {
 		d.faultAt(v.StartOffset, p, wantDuration)
 		return
@@ -109,7 +109,7 @@
 	target.SetInt(int64(parsed))
 }
 
-func (d *document) decodeLiteral(v *hujson.Value, p path, target reflect.Value) {
+func (d *document) decodeLiteral(v *hujson.Value, p *path, target reflect.Value) {
 	literal, _ := v.Value.(hujson.Literal)
 	if fault := setLiteral(literal, target); fault != "" {
 		d.faultAt(v.StartOffset, p, fault)
@@ -135,7 +135,7 @@
 	if len(literal) == 0 || literal.Kind() != '"' {
 		return wantText
 	}
-	target.SetString(literal.String())
+	target.SetString(unquote(literal))
 	return ""
 }
 
--- a/conf/document.go
+++ b/conf/document.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
 )
@@ -104,13 +105,13 @@
 }
 
 // faultAt notes a fault at an offset of the source.
-func (d *document) faultAt(offset int, p path, message string) {
+func (d *document) faultAt(offset int, p *path, message string) {
 	d.faults = append(d.faults, Fault{Line: d.line(offset), Field: p.String(), Message: message})
 }
 
 // fault notes a fault at the value that the path leads to, or at the nearest
 // value around it that the source holds.
-func (d *document) fault(p path, message string) {
+func (d *document) fault(p *path, message string) {
 	if d.source == nil {
 		d.faults = append(d.faults, Fault{Field: p.String(), Message: message})
 		return
@@ -119,9 +120,9 @@
 }
 
 // offset returns where the value of the path starts.
-func (d *document) offset(p path) int {
+func (d *document) offset(p *path) int {
 	v := &d.root
-	for _, s := range p {
+	for _, s := range p.steps() {
 		next := descend(v, s)
 		if next == nil {
 			break
@@ -132,7 +133,7 @@
 }
 
 // descend returns the member or element of the value, or nil.
-func descend(v *hujson.Value, s step) *hujson.Value {
+func descend(v *hujson.Value, s *path) *hujson.Value {
 	switch c := v.Value.(type) {
 	case *hujson.Object:
 		return findMember(c, s.name)
@@ -160,7 +161,16 @@
 	if !ok {
 		return ""
 	}
-	return literal.String()
+	return unquote(literal)
+}
+
+// unquote returns the text of a literal. It spares the library's slow way
+// where there is nothing to unescape.
+func unquote(literal hujson.Literal) string {
+	if len(literal) < 2 || bytes.IndexByte(literal, '\\') >= 0 || !utf8.Valid(literal) {
+		return literal.String()
+	}
+	return string(literal[1 : len(literal)-1])
 }
 
 // err returns the faults so far as a FaultsError, or nil.
--- /dev/null
+++ b/conf/fuzz_test.go
@@ -0,0 +1,108 @@
+package conf
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// FuzzParseText: a text either has faults, each with a line of the input, and
+// then no effect; or it says the same after it was written out and read again.
+func FuzzParseText(f *testing.F) {
+	f.Add([]byte(goodText))
+	f.Add([]byte(`{"services": [{"name": "a", "dependsOn": ["a"]}]}`))
+	f.Add([]byte("[[{\"\n"))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		text, err := ParseText(source)
+		if err != nil {
+			assert.DeepEqual(t, text, Text{})
+			checkFaultLines(t, source, err)
+			return
+		}
+		assert.NilError(t, text.Check())
+		written, err := json.Marshal(text)
+		assert.NilError(t, err)
+		again, err := ParseText(written)
+		assert.NilError(t, err)
+		assert.Equal(t, len(Diff(text, again)), 0)
+	})
+}
+
+func checkFaultLines(t *testing.T, source []byte, err error) {
+	var faults *FaultsError
+	assert.Assert(t, errors.As(err, &faults))
+	assert.Assert(t, len(faults.Faults) > 0)
+	lines := strings.Count(string(source), "\n") + 1
+	for _, fault := range faults.Faults {
+		assert.Assert(t, fault.Line >= 1 && fault.Line <= lines, "line %d of %d", fault.Line, lines)
+	}
+}
+
+// FuzzEditDomain: taking a domain out and bringing it back changes nothing
+// but the domains that are out.
+func FuzzEditDomain(f *testing.F) {
+	f.Add([]byte(goodText), "a")
+	f.Add([]byte(`{"failureDomains": ["\u00e9", "~/"], "domainsOut": null}`), "~/")
+	f.Fuzz(func(t *testing.T, source []byte, name string) {
+		before, err := ParseText(source)
+		if err != nil || before.DomainOut(name) {
+			return
+		}
+		out, _, err := EditDomain(source, name, true)
+		if errors.Is(err, ErrUnknownDomain) {
+			return
+		}
+		assert.NilError(t, err)
+		in, _, err := EditDomain(out, name, false)
+		assert.NilError(t, err)
+		assert.Equal(t, len(Diff(before, mustParse(t, string(in)))), 0)
+	})
+}
+
+// FuzzParseSettings: settings either have faults or hold for a process.
+func FuzzParseSettings(f *testing.F) {
+	f.Add([]byte(`{"seatTTL": "1m", "logLevel": "warn"}`))
+	f.Fuzz(func(t *testing.T, source []byte) {
+		s, err := ParseSettings(source)
+		if err != nil {
+			assert.DeepEqual(t, s, Settings{})
+			checkFaultLines(t, source, err)
+			return
+		}
+		written, err := json.Marshal(s)
+		assert.NilError(t, err)
+		again, err := ParseSettings(written)
+		assert.NilError(t, err)
+		assert.Assert(t, reflect.DeepEqual(s, again))
+	})
+}
+
+// BenchmarkParseText reads texts of several sizes.
+func BenchmarkParseText(b *testing.B) {
+	for _, teams := range []int{8, 4_300, 43_000} {
+		source := []byte(manyTeams(teams))
+		b.Run(fmt.Sprint("teams=", teams), func(b *testing.B) {
+			b.SetBytes(int64(len(source)))
+			for b.Loop() {
+				_, err := ParseText(source)
+				assert.NilError(b, err)
+			}
+		})
+	}
+}
+
+// manyTeams writes a text with the number of teams.
+func manyTeams(n int) string {
+	var s strings.Builder
+	s.WriteString(`{"teams": [`)
+	for i := range n {
+		fmt.Fprintf(&s, "{\"name\": \"team-%d\", \"ratePerSecond\": 10, \"burst\": 20},\n", i)
+	}
+	s.WriteString("]}")
+	return s.String()
+}
