--- a/engine/index.go
+++ b/engine/index.go
@@ -150,12 +150,13 @@
 }
 
 // Replace notes the engine's whole list. A list that is older than the events
-// that are known is only good for what it adds.
+// that are known is only good for what it adds; one without a sequence number
+// counts as new.
 func (x *CacheIndex) Replace(engine string, list CacheList, now time.Time) {
 	id := x.engine(engine)
-	if list.Sequence >= x.engines[id].sequence {
+	if list.Sequence == 0 || list.Sequence >= x.engines[id].sequence {
 		x.retain(id, list.Entries, now)
-		x.engines[id].sequence = list.Sequence
+		x.engines[id].sequence = max(list.Sequence, x.engines[id].sequence)
 		x.engines[id].listed = true
 	}
 	for _, e := range list.Entries {
--- a/route/adopt.go
+++ b/route/adopt.go
@@ -69,7 +69,7 @@
 	for _, s := range suspects {
 		p.adoptSuspect(s, now)
 	}
-	p.convict(now)
+	p.convict()
 	return p.take()
 }
 
--- a/route/choice.go
+++ b/route/choice.go
@@ -27,8 +27,8 @@
 	cost time.Duration
 }
 
-// choose weighs the upstreams that hold the program's prefix, those with a
-// free slot, and waiting for any.
+// choose weighs the upstreams that hold the program's prefix and those with a
+// free slot.
 func (p *Pool) choose(e *entry, now time.Time) choice {
 	best := choice{cost: maxCost}
 	var longest engine.Holding
@@ -75,7 +75,9 @@
 }
 
 // chooseFree weighs the best upstream that has a free slot, computing the
-// prefix again or moving it there; without one it weighs waiting for any.
+// prefix again or moving it there. A call whose prefix lies nowhere waits for
+// any upstream; one whose prefix is held never does, since computing prefixes
+// again while all slots are full only lengthens the queue.
 func (p *Pool) chooseFree(best choice, e *entry, longest engine.Holding, now time.Time) choice {
 	cost, move := p.recompute(e, longest)
 	if cost >= best.cost {
@@ -83,14 +85,8 @@
 	}
 	var free *upstream
 	freeCost := maxCost
-	slots := 0
 	for _, u := range p.order {
-		if !u.usable(now) {
-			continue
-		}
-		allowance := p.allowance(u, now)
-		slots += allowance
-		if len(u.running) >= allowance || slices.Contains(e.Avoid, u.Name) {
+		if p.free(u, now) <= 0 || slices.Contains(e.Avoid, u.Name) {
 			continue
 		}
 		if load := p.load(u, e.PromptTokens, now); load < freeCost {
@@ -100,9 +96,6 @@
 	if free != nil && cost+freeCost < best.cost {
 		return choice{upstream: free, move: move, cost: cost + freeCost}
 	}
-	if free == nil && cost+p.estimate.wait(p.shared.size+1, slots) < best.cost {
-		return choice{}
-	}
 	return best
 }
 
--- a/route/crash.go
+++ b/route/crash.go
@@ -41,7 +41,7 @@
 	u.goDown(&p.limits, now)
 	p.noteOutage(now)
 	p.replaceQueued(u, now)
-	p.convict(now)
+	p.convict()
 }
 
 // strike notes the attempt as one that was in flight at the crash.
@@ -112,7 +112,7 @@
 
 // convict refuses the waiting calls of convicted requests and cancels the
 // running ones, before they crash another upstream.
-func (p *Pool) convict(now time.Time) {
+func (p *Pool) convict() {
 	if !p.suspects.changed {
 		return
 	}
@@ -125,14 +125,11 @@
 		}
 	}
 	for _, u := range p.order {
-		p.convictRunning(u, now)
+		p.convictRunning(u)
 	}
 }
 
-func (p *Pool) convictRunning(u *upstream, now time.Time) {
-	if now.Before(u.downUntil) {
-		return
-	}
+func (p *Pool) convictRunning(u *upstream) {
 	for _, e := range sortedEntries(u.running) {
 		if p.suspects.convicted(e.Fingerprint) {
 			p.cancelRunning(e)
--- a/route/load.go
+++ b/route/load.go
@@ -20,7 +20,7 @@
 	p.observeCold(u, l.Coldish)
 	u.loadTotal = l.Running + l.Queued
 	u.loadAt = now
-	p.convict(now)
+	p.convict()
 	p.releaseHeld(now)
 	p.fill(u, now)
 	return p.take()
@@ -36,7 +36,7 @@
 	u.goDown(&p.limits, now)
 	p.settleCrashes(u, true, time.Time{})
 	p.replaceQueued(u, now)
-	p.convict(now)
+	p.convict()
 	return p.take()
 }
 
--- a/route/tick.go
+++ b/route/tick.go
@@ -15,7 +15,7 @@
 		p.sweptAt = now
 		p.suspects.expire(now, p.limits.SuspectTime)
 	}
-	p.convict(now)
+	p.convict()
 	p.settle(now)
 	p.fillAll(now)
 	return p.take()
