--- a/store/client_test.go
+++ b/store/client_test.go
@@ -180,3 +180,27 @@
 	assert.Equal(t, len(rows), 1)
 	assert.Equal(t, rows[0].Key, "b/2")
 }
+
+func TestClientAppliesATransactionOnce(t *testing.T) {
+	cases := []struct {
+		name string
+		txn  store.Txn
+	}{
+		{name: "conditional", txn: put("r", "k", "v", 0)},
+		{name: "unconditional", txn: store.Txn{RequestID: "r", Writes: []store.Write{{Key: "k", Value: []byte("v")}}}},
+		{name: "conditioned on another row", txn: store.Txn{
+			RequestID:  "r",
+			Conditions: []store.Condition{{Key: "other", Version: 0}},
+			Writes:     []store.Write{{Key: "k", Value: []byte("v")}},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			platform, client := startPlatform(t, testTimeout)
+			platform.SetFaults(stand.PlatformFaults{LoseNext: 1})
+			_, err := client.Commit(context.Background(), c.txn)
+			assert.NilError(t, err)
+			assert.Equal(t, platform.Stats().Commits, int64(1))
+		})
+	}
+}
--- a/store/fake.go
+++ b/store/fake.go
@@ -117,7 +117,7 @@
 	err := f.do(ctx, call, func() error {
 		applied, against := f.table.Commit(txn)
 		if len(against) > 0 {
-			return ErrConflict
+			return &ConflictError{Rows: against}
 		}
 		version = applied
 		return nil
--- a/store/store.go
+++ b/store/store.go
@@ -70,7 +70,8 @@
 		Range(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 		// Commit applies a transaction and returns the version that every
 		// written row now has. A lost answer is settled by reading back;
-		// ErrUnknown is returned only where that could not be done either.
+		// ErrUnknown is returned only where that could not be done either. An
+		// ErrConflict may be a *ConflictError that names the rows.
 		Commit(ctx context.Context, txn Txn) (int64, error)
 	}
 
