Compare programs with a naive version and check their histories

A simulator runs two or three homes over one table in one thread, with lost, doubled and late messages, lost store answers, late and doubled commits, a store that is away, and homes that die, pause and wake; every kept turn is compared with the table and the log is checked with porcupine. Two faults that these found are mended: a resend of a call whose other sending runs was queued twice, and a report was answered as superseded by a turn that itself was not surely kept.

Conclusion: kept turns, their order and the budget hold with several homes.

--- a/prog/corebegin.go
+++ b/prog/corebegin.go
@@ -36,8 +36,8 @@
 		c.replay(t, a, number, r.Digest)
 		return true
 	}
-	if a.running != nil && a.running.request.CallID == r.CallID {
-		return c.answerRunning(a.running, t, r)
+	if a.running != nil && c.answerRunning(a.running, t, r) {
+		return true
 	}
 	for i, e := range a.queue {
 		if e.request.CallID != r.CallID {
@@ -56,6 +56,9 @@
 }
 
 func (c *Core) answerRunning(run *running, t Ticket, r *BeginRequest) bool {
+	if run.request.CallID != r.CallID {
+		return false
+	}
 	if run.request.Digest != r.Digest {
 		c.refuseBegin(t, ReasonConflict)
 		return true
--- a/prog/coreend.go
+++ b/prog/coreend.go
@@ -23,8 +23,10 @@
 		c.endAgain(a, t, r, now)
 	case r.Turn > a.next():
 		c.refuseEnd(t, ReasonTurn)
-	case r.Previous != a.head():
+	case r.Previous != a.head() && a.headKept():
 		c.supersede(t, nil)
+	case r.Previous != a.head():
+		c.refuseEnd(t, ReasonTurn)
 	default:
 		c.append(f, a, t, r, now)
 	}
@@ -51,11 +53,14 @@
 // by another.
 func (c *Core) endAgain(a *agent, t Ticket, r *EndRequest, now time.Time) {
 	done := a.turns[r.Turn-1]
-	if newTurn(r).digest != done.digest {
+	switch {
+	case newTurn(r).digest == done.digest:
+		c.awaitTurn(done, t, now)
+	case done.pending == nil:
 		c.supersede(t, done.stored(r.Turn))
-		return
+	default:
+		c.refuseEnd(t, ReasonTurn) // the other is not surely kept either
 	}
-	c.awaitTurn(done, t, now)
 }
 
 // append makes a report the program's next turn.
--- a/prog/family.go
+++ b/prog/family.go
@@ -127,6 +127,11 @@
 	return a.turns[len(a.turns)-1].digest
 }
 
+// headKept reports whether the latest turn is in the table.
+func (a *agent) headKept() bool {
+	return len(a.turns) == 0 || a.turns[len(a.turns)-1].pending == nil
+}
+
 func (a *agent) next() int { return len(a.turns) + 1 }
 
 // completed returns the number of the turn of a call id, or zero.
@@ -215,9 +220,7 @@
 }
 
 func (f *family) hasPending() bool {
-	return slices.ContainsFunc(f.agents, func(a *agent) bool {
-		return len(a.turns) > 0 && a.turns[len(a.turns)-1].pending != nil
-	})
+	return slices.ContainsFunc(f.agents, func(a *agent) bool { return !a.headKept() })
 }
 
 // change notes that the row differs from the table's.
--- /dev/null
+++ b/prog/history_test.go
@@ -0,0 +1,131 @@
+package prog
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+)
+
+const historySeeds = 100
+
+// logModel is a program's history as a log that grows by one turn at a time,
+// each following the one that its sender saw.
+var logModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byProgram := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			in, _ := o.Input.(logAppend)
+			byProgram[in.program] = append(byProgram[in.program], o)
+		}
+		parts := make([][]porcupine.Operation, 0, len(byProgram))
+		for _, part := range byProgram {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return logState{} },
+	Step: func(state, input, _ any) (bool, any) {
+		s, _ := state.(logState)
+		in, _ := input.(logAppend)
+		if in.turn != s.turns+1 || s.turns > 0 && in.previous != s.head {
+			return false, s
+		}
+		return true, logState{turns: in.turn, head: in.digest}
+	},
+}
+
+type (
+	logAppend struct {
+		program  string
+		turn     int
+		previous string
+		digest   string
+	}
+
+	logState struct {
+		turns int
+		head  string
+	}
+)
+
+// TestHistoryOfTwoAndThreeHomes lets two or three homes believe that they own
+// the same programs, under lost, doubled and delayed messages, lost store
+// answers, late commits, a store that is away, and homes that die, pause and
+// wake.
+func TestHistoryOfTwoAndThreeHomes(t *testing.T) {
+	total := make(map[string]int)
+	for seed := range uint64(historySeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSimulator(t, seed, 2+int(seed%2))
+			s.faulty = true
+			for i := range 2 {
+				root := fmt.Sprintf("p-%d", i)
+				s.addClient(simClient{program: root, key: "", calls: 12})
+				s.addClient(simClient{program: root, key: "second", calls: 6, shares: true})
+				s.addClient(simClient{program: root, parent: root, key: "agent", calls: 6})
+			}
+			s.run(6000)
+			s.heal()
+			s.check()
+			for note, count := range s.notes {
+				total[note] += count
+			}
+			total["kept"] += len(s.kept)
+		})
+	}
+	t.Logf("%d seeds: %v", historySeeds, total)
+	for _, note := range []string{"run", "kept", "conflict", "replay", "superseded", string(ReasonBudgetTokens)} {
+		assert.Check(t, total[note] > 0, "no %s happened", note)
+	}
+}
+
+// check compares what senders were told with what the table holds.
+func (s *simulator) check() {
+	families := s.families()
+	acknowledged := make(map[string]simTurn)
+	for _, k := range s.kept {
+		a := families[RootOf(k.end.Program)].agent(k.end.Program)
+		assert.Assert(s.t, a != nil && len(a.turns) >= k.end.Turn, "a kept turn is lost")
+		digest := newTurn(&k.end).digest
+		assert.Equal(s.t, a.turns[k.end.Turn-1].digest, digest, "a kept turn was replaced")
+		acknowledged[digest] = k
+		before := &agent{turns: a.turns[:k.end.Turn-1]}
+		assert.Assert(s.t, reflect.DeepEqual(before.history(), k.history), "history differs from what the call saw")
+	}
+	s.checkBudgets(families)
+	assert.Assert(s.t, porcupine.CheckOperations(logModel, s.operations(families, acknowledged)), "not linearizable")
+}
+
+func (s *simulator) checkBudgets(families map[string]*family) {
+	budget := simBudget()
+	for root, f := range families {
+		runs := s.runs[root]
+		total := Usage{Calls: budget.Calls, Tokens: budget.Tokens}
+		assert.Assert(s.t, runs.Within(total), "%s used %+v of %+v", root, runs, total)
+		assert.Assert(s.t, f.ledger.Mark.Within(total), "%s reserved %+v", root, f.ledger.Mark)
+	}
+}
+
+// operations are the table's turns, each with the time that its sender knows.
+func (s *simulator) operations(families map[string]*family, acknowledged map[string]simTurn) []porcupine.Operation {
+	var history []porcupine.Operation
+	for _, f := range families {
+		for _, a := range f.agents {
+			previous := a.first
+			for i, t := range a.turns {
+				o := porcupine.Operation{Return: math.MaxInt64}
+				o.Input = logAppend{program: a.program, turn: i + 1, previous: previous, digest: t.digest}
+				if k, ok := acknowledged[t.digest]; ok {
+					o.Call, o.Return = k.called, k.returned
+				}
+				previous = t.digest
+				history = append(history, o)
+			}
+		}
+	}
+	return history
+}
--- a/prog/message.go
+++ b/prog/message.go
@@ -45,7 +45,9 @@
 
 	// Stored is what is kept of a completed call.
 	Stored struct {
-		Turn         int     `json:"turn"`
+		Turn int `json:"turn"`
+		// Kept says that the turn is in the table.
+		Kept         bool    `json:"kept"`
 		Answer       Message `json:"answer"`
 		PromptTokens int64   `json:"promptTokens"`
 		AnswerTokens int64   `json:"answerTokens"`
--- a/prog/request.go
+++ b/prog/request.go
@@ -128,7 +128,10 @@
 		Superseded bool
 		Stored     *Stored
 		// Refusal says why the report could not be taken in yet. The relaying
-		// instance sends it again while it is retryable.
+		// instance sends it again while it is retryable. ReasonTurn says that
+		// the turn before is not known or not surely kept; if that lasts for
+		// minutes at a home that is reached, the turn before is lost and the
+		// report is given up.
 		Refusal *Refusal
 	}
 
--- /dev/null
+++ b/prog/sim_test.go
@@ -0,0 +1,310 @@
+package prog
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+type (
+	// simulator runs homes, callers and a table in one thread. Its random
+	// source chooses the order of everything and every fault.
+	simulator struct {
+		t       *testing.T
+		random  *rand.Rand
+		now     time.Time
+		step    int64
+		memory  *store.Memory
+		objects map[string][]byte
+		homes   []*simHome
+		events  []simEvent
+		clients []*simClient
+		// faulty lets messages be lost or doubled and commits fail.
+		faulty bool
+		// down lets no request through to the store.
+		down  bool
+		runs  map[string]Usage
+		kept  []simTurn
+		notes map[string]int
+	}
+
+	// simHome is one instance; a new epoch is a new process.
+	simHome struct {
+		name    string
+		epoch   int
+		paused  bool
+		core    *Core
+		tickets Ticket
+		asks    map[Ticket]func(Reply)
+	}
+
+	// simEvent is something under way; one for a home waits while that home
+	// is paused and is lost when it dies.
+	simEvent struct {
+		home  *simHome
+		epoch int
+		run   func()
+	}
+
+	// simTurn is a report as its sender knows it.
+	simTurn struct {
+		end       EndRequest
+		history   []Message
+		called    int64
+		returned  int64
+		committed bool
+		gap       bool // refused last for lack of the turn before
+	}
+)
+
+func newSimulator(t *testing.T, seed uint64, homes int) *simulator {
+	s := &simulator{
+		t:       t,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		now:     time.Unix(1_700_000_000, 0),
+		memory:  store.NewMemory(),
+		objects: make(map[string][]byte),
+		runs:    make(map[string]Usage),
+		notes:   make(map[string]int),
+	}
+	for i := range homes {
+		h := &simHome{name: fmt.Sprintf("home%d", i)}
+		s.restart(h)
+		s.homes = append(s.homes, h)
+	}
+	return s
+}
+
+// restart gives a home an empty memory.
+func (s *simulator) restart(h *simHome) {
+	h.epoch++
+	o := DefaultOptions(h.name, fmt.Sprint(h.epoch))
+	o.WaitBound, o.WaitGrace, o.RunGrace = 4*time.Second, time.Second, time.Second
+	o.IdleTimeout, o.Linger, o.CallTimeout = 10*time.Second, 2*time.Second, 20*time.Second
+	h.core = NewCore(o)
+	h.asks = make(map[Ticket]func(Reply))
+	h.paused = false
+}
+
+func (s *simulator) chance(percent int) bool { return s.random.IntN(100) < percent }
+
+func (s *simulator) fault(percent int) bool { return s.faulty && s.chance(percent) }
+
+func (s *simulator) later(h *simHome, run func()) {
+	e := simEvent{home: h, run: run}
+	if h != nil {
+		e.epoch = h.epoch
+	}
+	s.events = append(s.events, e)
+}
+
+// ask sends a request to a home; it may be lost or doubled, and so may the
+// reply be lost.
+func (s *simulator) ask(h *simHome, send func(Ticket) []Action, reply func(Reply)) {
+	deliver := func() {
+		h.tickets++
+		h.asks[h.tickets] = reply
+		s.act(h, send(h.tickets))
+	}
+	if s.fault(5) {
+		return
+	}
+	s.later(h, deliver)
+	if s.fault(5) {
+		s.later(h, deliver)
+	}
+}
+
+func (s *simulator) act(h *simHome, actions []Action) {
+	for _, a := range actions {
+		switch {
+		case a.Reply != nil:
+			s.deliver(h, *a.Reply)
+		case a.Load != nil:
+			s.later(nil, func() { s.load(h, h.epoch, a.Load.Root) })
+		case a.Commit != nil:
+			s.later(nil, func() { s.commit(h, h.epoch, a.Commit) })
+		}
+	}
+}
+
+func (s *simulator) deliver(h *simHome, r Reply) {
+	reply := h.asks[r.Ticket]
+	delete(h.asks, r.Ticket)
+	if reply == nil || s.fault(5) {
+		return
+	}
+	s.later(nil, func() { reply(r) })
+}
+
+// load reads the row and, some time later, the turns.
+func (s *simulator) load(h *simHome, epoch int, root string) {
+	result := &LoadResult{Bodies: s.objects}
+	failed := s.down || s.fault(10)
+	result.Row, _ = s.memory.Get(FamilyKey(root))
+	s.later(nil, func() {
+		result.Turns = s.memory.Range(turnPrefix(root), "", 1<<20)
+		var err error
+		if failed {
+			result, err = nil, store.ErrUnavailable
+		}
+		s.events = append(s.events, simEvent{home: h, epoch: epoch, run: func() {
+			s.act(h, h.core.Loaded(root, result, err, s.now))
+		}})
+	})
+}
+
+func (s *simulator) commit(h *simHome, epoch int, c *Commit) {
+	version, err := s.try(c)
+	s.events = append(s.events, simEvent{home: h, epoch: epoch, run: func() {
+		s.act(h, h.core.Committed(c.Root, c.Txn.RequestID, version, err, s.now))
+	}})
+}
+
+// try is a commit with what may befall it: not sent, lost, late, doubled, or
+// done with its answer lost.
+func (s *simulator) try(c *Commit) (int64, error) {
+	switch {
+	case s.down && s.chance(50), s.fault(5):
+		return 0, store.ErrUnavailable
+	case s.down, s.fault(5):
+		return 0, store.ErrUnknown
+	case s.fault(7):
+		s.later(nil, func() { _, _ = s.apply(c) })
+		return 0, store.ErrUnknown
+	case s.fault(7):
+		_, _ = s.apply(c)
+		return 0, store.ErrUnknown
+	case s.fault(5):
+		s.later(nil, func() { _, _ = s.apply(c) })
+	}
+	return s.apply(c)
+}
+
+func (s *simulator) apply(c *Commit) (int64, error) {
+	taken := s.taken(c)
+	version, against := s.memory.Commit(c.Txn)
+	if len(against) > 0 {
+		s.notes["conflict"]++
+		return 0, store.ErrConflict
+	}
+	for _, o := range c.Objects {
+		s.objects[o.Name] = o.Body
+	}
+	assert.Equal(s.t, taken, 0, "a turn was written over")
+	return version, nil
+}
+
+// taken counts the turns of a commit that the table has already.
+func (s *simulator) taken(c *Commit) int {
+	count := 0
+	for _, w := range c.Txn.Writes[1:] {
+		if _, ok := s.memory.Get(w.Key); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// run takes steps; each is a message, a caller's move, a tick or a fault.
+func (s *simulator) run(steps int) {
+	for range steps {
+		s.step++
+		switch p := s.random.IntN(100); {
+		case p < 12:
+			s.clients[s.random.IntN(len(s.clients))].poke()
+		case p < 20:
+			s.tick()
+		case p < 22 && s.faulty:
+			s.upset()
+		default:
+			s.next()
+		}
+	}
+}
+
+func (s *simulator) tick() {
+	s.now = s.now.Add(time.Duration(s.random.IntN(400)) * time.Millisecond)
+	for _, h := range s.homes {
+		if !h.paused {
+			s.act(h, h.core.Tick(s.now))
+		}
+	}
+}
+
+// upset kills, pauses or wakes a home, or cuts the store off or on.
+func (s *simulator) upset() {
+	h := s.homes[s.random.IntN(len(s.homes))]
+	switch p := s.random.IntN(100); {
+	case p < 15:
+		s.restart(h)
+	case p < 35:
+		h.paused = true
+	case p < 75:
+		h.paused = false
+	case p < 85:
+		for shard := range Shards {
+			s.act(h, h.core.Unload(shard, s.now))
+		}
+	default:
+		s.down = !s.down && s.chance(50)
+	}
+}
+
+func (s *simulator) next() {
+	if len(s.events) == 0 {
+		return
+	}
+	i := s.random.IntN(len(s.events))
+	e := s.events[i]
+	if e.home != nil && e.home.paused && e.home.epoch == e.epoch {
+		return
+	}
+	s.events = slices.Delete(s.events, i, i+1)
+	if e.home == nil || e.home.epoch == e.epoch {
+		e.run()
+	}
+}
+
+// heal ends all faults and all homes but one, which starts empty, and goes on
+// until every caller has finished.
+func (s *simulator) heal() {
+	s.faulty, s.down = false, false
+	for _, h := range s.homes {
+		s.restart(h)
+	}
+	s.homes = s.homes[:1]
+	for range 200 {
+		s.run(200)
+		if !slices.ContainsFunc(s.clients, func(c *simClient) bool { return !c.finished() }) {
+			return
+		}
+	}
+	for _, c := range s.clients {
+		assert.Check(s.t, c.finished(), "%s in phase %d, call %d, %d reports left: %+v", c.program, c.phase, c.number, len(c.carried), c.call)
+	}
+	s.t.FailNow()
+}
+
+// families reads the table's families, which checks their chains.
+func (s *simulator) families() map[string]*family {
+	families := make(map[string]*family)
+	for _, row := range s.memory.Range("program/", "", 1<<20) {
+		root := strings.TrimPrefix(row.Key, "program/")
+		result := &LoadResult{Row: row, Turns: s.memory.Range(turnPrefix(root), "", 1<<20), Bodies: s.objects}
+		f, err := restore(result, s.now)
+		assert.NilError(s.t, err)
+		families[root] = f
+	}
+	return families
+}
+
+func simBudget() conf.Budget { return conf.Budget{Calls: 40, Tokens: 6000, Seconds: 3600} }
--- /dev/null
+++ b/prog/simclient_test.go
@@ -0,0 +1,252 @@
+package prog
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	simOpening simPhase = iota
+	simBeginning
+	simReporting
+	simDone
+)
+
+type (
+	simPhase int
+
+	// simClient is a caller with its relaying instance: it opens a program,
+	// makes calls one after another, and resends what was not answered.
+	simClient struct {
+		sim     *simulator
+		phase   simPhase
+		program string
+		parent  string
+		key     string
+		opens   int
+		opened  bool // the opening is in the table
+		shares  bool // the program is opened by another client
+		number  int
+		calls   int
+		attempt int
+		call    BeginRequest
+		called  int64
+		report  *simTurn
+		// carried are reports that were answered with kept=false.
+		carried []*simTurn
+	}
+)
+
+func (s *simulator) addClient(c simClient) *simClient {
+	c.sim = s
+	s.clients = append(s.clients, &c)
+	if c.shares {
+		c.phase, c.opened = simBeginning, true
+		s.clients[len(s.clients)-1].nextCall()
+	}
+	return s.clients[len(s.clients)-1]
+}
+
+func (c *simClient) finished() bool {
+	for _, r := range c.carried {
+		if !r.gap || c.sim.carries(r.end.Previous) {
+			return false
+		}
+	}
+	return c.phase == simDone && c.opened
+}
+
+// carries reports whether a sender still carries the turn of a digest. A
+// report whose previous turn nobody has is given up by its sender.
+func (s *simulator) carries(digest string) bool {
+	for _, c := range s.clients {
+		for _, r := range c.carried {
+			if r.end.Outcome == OutcomeCompleted && newTurn(&r.end).digest == digest {
+				return !r.gap || s.carries(r.end.Previous)
+			}
+		}
+	}
+	return false
+}
+
+// home is mostly the one that the client believes in.
+func (c *simClient) home() *simHome {
+	s := c.sim
+	if s.fault(25) || s.homes[0].paused {
+		return s.homes[s.random.IntN(len(s.homes))]
+	}
+	return s.homes[0]
+}
+
+// poke sends what the client waits for, perhaps again.
+func (c *simClient) poke() {
+	s := c.sim
+	if !c.opened {
+		c.open()
+	}
+	for _, r := range c.carried {
+		c.sendReport(r)
+	}
+	switch c.phase {
+	case simBeginning:
+		if s.fault(10) {
+			c.attempt++
+		}
+		c.begin()
+	case simReporting:
+		c.sendReport(c.report)
+	}
+}
+
+func (c *simClient) open() {
+	r := OpenRequest{Team: "team", Key: c.key, Budget: simBudget(), Resent: c.opens > 0}
+	r.Program, r.Parent = c.program, c.parent
+	if c.parent != "" {
+		r.Program = ""
+	}
+	c.opens++
+	h := c.home()
+	c.sim.ask(h, func(t Ticket) []Action { return h.core.Open(t, r, c.sim.now) }, func(p Reply) {
+		if p.Open.Refusal != nil {
+			reason := p.Open.Refusal.Reason
+			if c.phase == simOpening && !p.Open.Refusal.Retryable && reason != ReasonUnknownProgram {
+				c.phase, c.opened = simDone, true
+			}
+			return
+		}
+		c.opened = c.opened || p.Open.Kept
+		c.program = p.Open.Program
+		if c.phase == simOpening {
+			c.phase = simBeginning
+			c.nextCall()
+		}
+	})
+}
+
+func (c *simClient) nextCall() {
+	if c.number == c.calls {
+		c.phase = simDone
+		return
+	}
+	c.number++
+	c.phase = simBeginning
+	c.called = c.sim.step
+	estimated := int64(50 + c.sim.random.IntN(200))
+	c.call = BeginRequest{
+		Program: c.program, Team: "team", CallID: fmt.Sprintf("%s-%s-%d", c.program, c.key, c.number),
+		Relay: "relay", Kind: KindModel, EstimatedTokens: estimated,
+		Deadline: c.sim.now.Add(time.Minute),
+	}
+	if c.sim.chance(20) {
+		c.call.CallID = fmt.Sprintf("%s-shared-%d", c.program, c.number)
+	}
+	c.call.Digest = c.call.CallID
+	if c.sim.chance(15) {
+		c.call.Kind = KindPlain
+	}
+}
+
+func (c *simClient) begin() {
+	r := c.call
+	r.Attempt = fmt.Sprint(c.key, c.attempt)
+	h := c.home()
+	c.sim.ask(h, func(t Ticket) []Action { return h.core.Begin(t, r, c.sim.now) }, func(p Reply) {
+		if c.phase == simBeginning && c.call.CallID == r.CallID && r.Attempt == fmt.Sprint(c.key, c.attempt) {
+			c.begun(r, p.Begin)
+		}
+	})
+}
+
+func (c *simClient) begun(r BeginRequest, p *BeginReply) {
+	s := c.sim
+	switch {
+	case p.Start != nil:
+		c.runCall(r, p.Start)
+	case p.Replay != nil:
+		s.notes["replay"]++
+		assert.Assert(s.t, bytes.HasPrefix(p.Replay.Answer.Body, []byte(r.CallID)), "another call's answer")
+		c.nextCall()
+	case p.Refusal != nil:
+		s.notes[string(p.Refusal.Reason)]++
+		waitsForOpening := p.Refusal.Reason == ReasonUnknownProgram
+		if !p.Refusal.Retryable && !waitsForOpening {
+			c.nextCall()
+		}
+	}
+}
+
+// runCall is the engine: it counts the call, whatever becomes of it.
+func (c *simClient) runCall(r BeginRequest, start *Start) {
+	s := c.sim
+	used := 1 + s.random.Int64N(start.ReservedTokens)
+	for _, m := range start.History {
+		assert.Assert(s.t, bytes.Contains(m.Body, []byte(c.program+"-")), "mixed history")
+	}
+	s.runs[RootOf(c.program)] = s.runs[RootOf(c.program)].Add(Usage{Calls: 1, Tokens: used})
+	s.notes["run"]++
+	end := endOf(r, start, fmt.Sprintf("%s#%d", r.CallID, s.step))
+	end.PromptTokens, end.AnswerTokens = used, 0
+	if s.chance(5) {
+		end.Answer.Body = append(end.Answer.Body, make([]byte, maxInlineBytes)...)
+	}
+	switch p := s.random.IntN(100); {
+	case p < 5 && s.faulty:
+		c.nextCall() // the relaying instance dies, nothing is reported
+		return
+	case p < 12:
+		end.Outcome = OutcomeFailed
+	case p < 16:
+		end.Outcome = OutcomeUnknown
+	}
+	c.attempt++
+	c.report = &simTurn{end: end, history: start.History, called: c.called}
+	c.phase = simReporting
+	if s.fault(15) {
+		c.phase = simDone // answered to the caller before the report
+		c.carried = append(c.carried, c.report)
+		c.nextCall()
+	}
+}
+
+func (c *simClient) sendReport(r *simTurn) {
+	h := c.home()
+	c.sim.ask(h, func(t Ticket) []Action { return h.core.End(t, r.end, c.sim.now) }, func(p Reply) {
+		c.reported(r, p.End)
+	})
+}
+
+func (c *simClient) reported(r *simTurn, p *EndReply) {
+	s := c.sim
+	settled := p.Kept || p.Superseded
+	r.gap = p.Refusal != nil && p.Refusal.Reason == ReasonTurn
+	if p.Kept && r.end.Outcome == OutcomeCompleted && !r.committed {
+		r.committed, r.returned = true, s.step
+		s.kept = append(s.kept, *r)
+	}
+	if p.Superseded {
+		assert.Assert(s.t, !r.committed, "a kept turn was superseded")
+		s.notes["superseded"]++
+	}
+	current := c.phase == simReporting && c.report == r
+	if settled {
+		c.carried = without(c.carried, r)
+	} else if current {
+		c.carried = append(c.carried, r)
+	}
+	if current {
+		c.nextCall()
+	}
+}
+
+func without(reports []*simTurn, r *simTurn) []*simTurn {
+	var rest []*simTurn
+	for _, other := range reports {
+		if other != r {
+			rest = append(rest, other)
+		}
+	}
+	return rest
+}
--- a/prog/turn.go
+++ b/prog/turn.go
@@ -74,6 +74,7 @@
 func (t *turn) stored(number int) *Stored {
 	return &Stored{
 		Turn:         number,
+		Kept:         t.pending == nil,
 		Answer:       t.answer,
 		PromptTokens: t.promptTokens,
 		AnswerTokens: t.usage.Tokens - t.promptTokens,
