--- /dev/null
+++ b/boot/serve.go
@@ -0,0 +1,134 @@
+package boot
+
+import (
+	"context"
+	"flag"
+	"os"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/oklog/run"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+)
+
+// adminKeyVariable holds the first admin key where the settings name no file.
+const adminKeyVariable = "BUCKTHORNTIDE_ADMIN_KEY"
+
+// errDrained ends the run group after an operator's drain.
+const errDrained = errors.ConstError("planned stop")
+
+func (a *App) serve(args []string) int {
+	settings, err := a.settings(args)
+	if err != nil {
+		return a.fail(exitBadInput, err)
+	}
+	adminKey, err := a.adminKey(settings)
+	if err != nil {
+		return a.fail(exitBadInput, err)
+	}
+	log := hclog.New(&hclog.LoggerOptions{
+		Name:   "buckthorntide",
+		Level:  hclog.LevelFromString(settings.LogLevel),
+		Output: a.err,
+	})
+	node, err := NewNode(Options{Settings: settings, Log: log, AdminKey: adminKey})
+	if err != nil {
+		return a.fail(exitFailed, err)
+	}
+	if err := runNode(node, time.Duration(settings.DrainTimeout)); err != nil {
+		return a.fail(exitFailed, err)
+	}
+	return exitOK
+}
+
+// runNode runs until a signal or an operator asks for a planned stop.
+func runNode(node *Node, drainTimeout time.Duration) error {
+	if err := node.Start(); err != nil {
+		node.Close()
+		return err
+	}
+	var group run.Group
+	group.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	stop := make(chan struct{})
+	group.Add(func() error {
+		select {
+		case <-node.DrainAsked():
+			return errDrained
+		case <-stop:
+			return nil
+		}
+	}, func(error) { close(stop) })
+	err := group.Run()
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	drainErr := node.Drain(ctx)
+	node.Close()
+	var signal *run.SignalError
+	if err != nil && !errors.Is(err, errDrained) && !errors.As(err, &signal) && !errors.Is(err, run.ErrSignal) {
+		return err
+	}
+	return drainErr
+}
+
+// settings reads the file that -settings names and then the flags, which go
+// before the file.
+func (a *App) settings(args []string) (conf.Settings, error) {
+	flags := flag.NewFlagSet("serve", flag.ContinueOnError)
+	flags.SetOutput(a.err)
+	file := flags.String("settings", "", "file of settings, JSON with comments")
+	overrides := []struct {
+		flag  string
+		help  string
+		field func(*conf.Settings) *string
+	}{
+		{"name", "name of the instance", func(s *conf.Settings) *string { return &s.Instance }},
+		{"domain", "failure domain of the instance", func(s *conf.Settings) *string { return &s.FailureDomain }},
+		{"region", "region of the instance", func(s *conf.Settings) *string { return &s.Region }},
+		{"listen", "address for callers, IP:port", func(s *conf.Settings) *string { return &s.ListenAddress }},
+		{"admin", "address for operators, IP:port", func(s *conf.Settings) *string { return &s.AdminAddress }},
+		{"peer", "address for other instances, IP:port", func(s *conf.Settings) *string { return &s.PeerAddress }},
+		{"platform", "address of the platform, IP:port", func(s *conf.Settings) *string { return &s.PlatformAddress }},
+		{"log", "log level", func(s *conf.Settings) *string { return &s.LogLevel }},
+	}
+	values := make([]*string, 0, len(overrides))
+	for _, o := range overrides {
+		values = append(values, flags.String(o.flag, "", o.help))
+	}
+	if err := flags.Parse(args); err != nil {
+		return conf.Settings{}, errors.Trace(err)
+	}
+	settings, err := readSettings(*file)
+	if err != nil {
+		return conf.Settings{}, err
+	}
+	for i, o := range overrides {
+		if *values[i] != "" {
+			*o.field(&settings) = *values[i]
+		}
+	}
+	return settings, settings.Check()
+}
+
+func readSettings(file string) (conf.Settings, error) {
+	if file == "" {
+		return conf.DefaultSettings(), nil
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return conf.Settings{}, errors.Annotate(err, "read settings")
+	}
+	settings, err := conf.ParseSettings(raw)
+	return settings, errors.Annotatef(err, "settings %s", file)
+}
+
+func (a *App) adminKey(settings conf.Settings) (string, error) {
+	if settings.AdminKeyFile == "" {
+		return a.env(adminKeyVariable), nil
+	}
+	raw, err := os.ReadFile(settings.AdminKeyFile)
+	return strings.TrimSpace(string(raw)), errors.Annotate(err, "read the admin key")
+}
--- /dev/null
+++ b/calls/plain.go
@@ -0,0 +1,351 @@
+package calls
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/prog"
+	"github.com/buckthorntide/buckthorntide/relay"
+	"github.com/buckthorntide/buckthorntide/route"
+)
+
+// roleService marks the answer of a plain service in a program's history.
+const roleService = "service"
+
+type (
+	// Intents lets a call that may not be repeated run at most once.
+	Intents interface {
+		Claim(ctx context.Context, q prog.ClaimRequest) *prog.ClaimReply
+		Settle(ctx context.Context, c *prog.Claim, answer prog.CallAnswer) bool
+		SettleNotRun(ctx context.Context, c *prog.Claim) bool
+		SettleUnknown(ctx context.Context, c *prog.Claim) bool
+	}
+
+	// PlainCall is one call of a plain service by a caller.
+	PlainCall struct {
+		Caller  Caller
+		Service conf.Service
+		Route   conf.Route
+		Program string
+		// CallID is the caller's idempotency key or a new id.
+		CallID string
+		// Generated says that CallID is a new id.
+		Generated bool
+		// Attempt names this sending of the call.
+		Attempt  string
+		Method   string
+		Path     string
+		Query    string
+		Header   http.Header
+		Body     []byte
+		Digest   string
+		Deadline time.Time
+	}
+
+	// PlainResult is the whole answer of a plain service.
+	PlainResult struct {
+		Answer relay.PlainAnswer
+		// Turn is the program's turn; zero without a program.
+		Turn int
+		// Replayed says that the answer comes from an earlier call with the
+		// same idempotency key.
+		Replayed bool
+	}
+
+	// Plain carries out calls of plain services.
+	Plain struct {
+		common   *common.Common
+		self     string
+		limits   Limits
+		programs Programs
+		pools    Pools
+		intents  Intents
+		relay    *relay.Plain
+	}
+
+	// plainRun is one call of a plain service under way.
+	plainRun struct {
+		*Plain
+		call  PlainCall
+		start prog.Start
+		claim *prog.Claim
+		// upstream is the upstream that gave the answer.
+		upstream string
+	}
+)
+
+// NewPlain returns a Plain that relays on the instance self.
+func NewPlain(
+	c *common.Common,
+	self string,
+	limits Limits,
+	programs Programs,
+	pools Pools,
+	intents Intents,
+	forward *relay.Plain,
+) *Plain {
+	return &Plain{
+		common:   c.Part("calls"),
+		self:     self,
+		limits:   limits,
+		programs: programs,
+		pools:    pools,
+		intents:  intents,
+		relay:    forward,
+	}
+}
+
+// Call runs the call and returns its whole answer, or why there is none.
+func (p *Plain) Call(ctx context.Context, call PlainCall) (PlainResult, *Refusal) {
+	if call.Caller.Team.Name != "" {
+		if refusal := takeToken(ctx, p.limits, call.Caller); refusal != nil {
+			return PlainResult{}, refusal
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	r := &plainRun{Plain: p, call: call}
+	if call.Program == "" {
+		return r.once(ctx)
+	}
+	return r.inProgram(ctx)
+}
+
+// inProgram runs the call as the next turn of its program.
+func (r *plainRun) inProgram(ctx context.Context) (PlainResult, *Refusal) {
+	reply, err := r.programs.Begin(ctx, r.beginRequest())
+	if err != nil {
+		return PlainResult{}, refuseUnavailable(r.unclaimedState(), "the program's home did not answer")
+	}
+	switch {
+	case reply.Refusal != nil:
+		return PlainResult{}, refuseProgram(reply.Refusal)
+	case reply.Replay != nil:
+		return replayTurn(reply.Replay)
+	case reply.Start == nil:
+		return PlainResult{}, refuseProgram(&prog.Refusal{Reason: prog.ReasonDeadline, RunState: prog.NotRun})
+	}
+	r.start = *reply.Start
+	ctx, cancel := context.WithTimeout(ctx, r.start.TimeLeft)
+	defer cancel()
+	result, refusal := r.once(ctx)
+	if refusal != nil {
+		_, _ = r.end(ctx, endOutcome(ctx, refusal), nil)
+		return PlainResult{}, refusal
+	}
+	_, err = r.end(ctx, prog.OutcomeCompleted, &result.Answer)
+	if err != nil {
+		r.common.Log.Warn("A turn is not kept yet.", "program", r.call.Program, "error", err)
+	}
+	result.Turn = r.start.Turn
+	return result, nil
+}
+
+// unclaimedState is what is known of a call before it was claimed here: an
+// earlier sending with the caller's key may have run.
+func (r *plainRun) unclaimedState() RunState {
+	if r.call.Generated || r.call.Route.Repeatable {
+		return NotRun
+	}
+	return Unknown
+}
+
+func (r *plainRun) beginRequest() *prog.BeginRequest {
+	return &prog.BeginRequest{
+		Program:  r.call.Program,
+		Team:     r.call.Caller.Team.Name,
+		CallID:   r.call.CallID,
+		Attempt:  r.call.Attempt,
+		Relay:    r.self,
+		Kind:     prog.KindPlain,
+		Digest:   r.call.Digest,
+		Deadline: r.call.Deadline,
+	}
+}
+
+func (r *plainRun) end(ctx context.Context, outcome prog.Outcome, answer *relay.PlainAnswer) (*prog.EndReply, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	q := &prog.EndRequest{
+		Program:  r.call.Program,
+		Team:     r.call.Caller.Team.Name,
+		Turn:     r.start.Turn,
+		CallID:   r.call.CallID,
+		Attempt:  r.call.Attempt,
+		Relay:    r.self,
+		Kind:     prog.KindPlain,
+		Digest:   r.call.Digest,
+		Previous: r.start.Previous,
+		Outcome:  outcome,
+		Engine:   r.upstream,
+	}
+	if answer != nil {
+		body, err := json.Marshal(answer)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		q.Answer = prog.Message{Role: roleService, Body: body}
+	}
+	return r.programs.End(ctx, q)
+}
+
+func replayTurn(stored *prog.Stored) (PlainResult, *Refusal) {
+	var answer relay.PlainAnswer
+	if err := json.Unmarshal(stored.Answer.Body, &answer); err != nil {
+		return PlainResult{}, refuseProgram(&prog.Refusal{Reason: prog.ReasonConflict, RunState: prog.Ran})
+	}
+	return PlainResult{Answer: answer, Turn: stored.Turn, Replayed: true}, nil
+}
+
+// once runs the call, at most once if its route says that it may not be
+// repeated.
+func (r *plainRun) once(ctx context.Context) (PlainResult, *Refusal) {
+	if r.call.Route.Repeatable {
+		answer, refusal := r.attempts(ctx)
+		return PlainResult{Answer: answer}, refusal
+	}
+	reply := r.intents.Claim(ctx, prog.ClaimRequest{
+		Team:      r.call.Caller.Team.Name,
+		Service:   r.call.Service.Name,
+		Key:       r.call.CallID,
+		Generated: r.call.Generated,
+		Digest:    r.call.Digest,
+		Deadline:  r.call.Deadline,
+	})
+	if reply.Refusal != nil {
+		return PlainResult{}, refuseProgram(reply.Refusal)
+	}
+	if reply.Replay != nil {
+		return PlainResult{Answer: fromStored(reply.Replay), Replayed: true}, nil
+	}
+	r.claim = reply.Run
+	answer, refusal := r.attempts(ctx)
+	r.settle(ctx, answer, refusal)
+	return PlainResult{Answer: answer}, refusal
+}
+
+func (r *plainRun) settle(ctx context.Context, answer relay.PlainAnswer, refusal *Refusal) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	switch {
+	case refusal == nil:
+		r.intents.Settle(ctx, r.claim, prog.CallAnswer{
+			Status:      answer.Status,
+			ContentType: answer.Header.Get("Content-Type"),
+			Body:        answer.Body,
+		})
+	case refusal.RunState == NotRun:
+		r.intents.SettleNotRun(ctx, r.claim)
+	default:
+		r.intents.SettleUnknown(ctx, r.claim)
+	}
+}
+
+func fromStored(a *prog.CallAnswer) relay.PlainAnswer {
+	header := make(http.Header)
+	if a.ContentType != "" {
+		header.Set("Content-Type", a.ContentType)
+	}
+	return relay.PlainAnswer{Status: a.Status, Header: header, Body: a.Body}
+}
+
+// attempts sends the call to one upstream after another until one has answered
+// or the pool says no. The pool sends a call that may not be repeated to a
+// second upstream only if the first one surely did not begin it.
+func (r *plainRun) attempts(ctx context.Context) (relay.PlainAnswer, *Refusal) {
+	state := NotRun
+	for {
+		decision, err := r.pools.Submit(ctx, r.call.Service.Name, r.routeCall())
+		if err != nil {
+			r.pools.Cancel(r.call.Service.Name, r.call.Attempt)
+			return relay.PlainAnswer{}, refuseUnavailable(state, "no upstream was found in time")
+		}
+		if decision.Refuse != nil {
+			refusal := refuseRoute(decision.Refuse)
+			if state == Unknown {
+				refusal.RunState = Unknown
+			}
+			return relay.PlainAnswer{}, refusal
+		}
+		answer, report, err := r.attempt(ctx, *decision.Assign)
+		r.pools.Done(context.WithoutCancel(ctx), r.call.Service.Name, report)
+		if err == nil {
+			r.upstream = report.Upstream
+			return answer, nil
+		}
+		if report.Outcome != route.OutcomeUnreachable {
+			state = Unknown
+		}
+		if ctx.Err() != nil {
+			refusal := refuseLeft(ctx, report.Outcome)
+			refusal.RunState = state
+			return relay.PlainAnswer{}, refusal
+		}
+		if state == Unknown && !r.call.Route.Repeatable {
+			return relay.PlainAnswer{}, &Refusal{
+				Status:   http.StatusBadGateway,
+				Code:     "outcomeUnknown",
+				Message:  "the upstream was lost before it answered; the call may have run and is not sent again",
+				RunState: Unknown,
+			}
+		}
+	}
+}
+
+func (r *plainRun) attempt(ctx context.Context, a route.Assign) (relay.PlainAnswer, route.Report, error) {
+	report := route.Report{Call: r.call.Attempt, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
+	sent := r.common.Clock.Now()
+	answer, err := r.relay.Call(ctx, relay.PlainRequest{
+		Address:    a.Address,
+		Method:     r.call.Method,
+		Path:       r.call.Path,
+		Query:      r.call.Query,
+		Header:     r.call.Header,
+		Body:       r.call.Body,
+		Credential: r.call.Service.Credential,
+		CallID:     r.call.Attempt,
+		Repeatable: r.call.Route.Repeatable,
+	})
+	switch {
+	case err == nil:
+		report.Outcome = route.OutcomeCompleted
+		report.FirstToken = r.common.Clock.Now().Sub(sent)
+	case errors.Is(err, relay.ErrNotSent):
+		report.Outcome = route.OutcomeUnreachable
+	case ctx.Err() != nil:
+		report.Outcome = route.OutcomeCancelled
+	default:
+		report.Outcome = route.OutcomeCrashed
+	}
+	if err != nil {
+		r.common.Log.Info("An attempt failed.", "upstream", a.Upstream, "error", err)
+	}
+	return answer, report, err
+}
+
+func (r *plainRun) routeCall() route.Call {
+	call := route.Call{
+		ID:              r.call.Attempt,
+		Relay:           r.self,
+		Program:         r.call.Attempt,
+		Root:            r.call.Attempt,
+		Team:            r.call.Caller.Team.Name,
+		AttainedService: r.start.Attained,
+		RunningProgram:  r.start.Turn > 1,
+		Repeatable:      r.call.Route.Repeatable,
+		Fingerprint:     xxhash.Sum64String(r.call.Method + r.call.Path + r.call.Digest),
+		Deadline:        r.call.Deadline,
+	}
+	if r.call.Program != "" {
+		call.Program = r.call.Program
+		call.Root = prog.RootOf(r.call.Program)
+	}
+	return call
+}
--- /dev/null
+++ b/calls/refusal.go
@@ -0,0 +1,175 @@
+// Package calls carries out callers' calls on the instance that the caller
+// reached: it asks the homes for a token, a turn and an upstream, streams from
+// the upstream to the caller and reports the outcome.
+package calls
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/prog"
+	"github.com/buckthorntide/buckthorntide/route"
+)
+
+const (
+	// ErrKeyWithdrawn is the cause of a call's end when its key is withdrawn.
+	ErrKeyWithdrawn = errors.ConstError("key withdrawn")
+
+	errCallerLeft = errors.ConstError("caller left")
+
+	// finishStop is the finish reason of an answer that ended by itself.
+	finishStop = "stop"
+
+	// NotRun says that no upstream ran the call and that none will.
+	NotRun RunState = "notRun"
+	// Ran says that an upstream ran the call.
+	Ran RunState = "ran"
+	// Unknown says that an upstream may have run the call.
+	Unknown RunState = "unknown"
+
+	// statusCallerLeft is logged for a caller that left; nobody reads it.
+	statusCallerLeft = 499
+	// unavailableRetry is when a call is worth another try after something
+	// that the system needs was not reached.
+	unavailableRetry = time.Second
+)
+
+type (
+	// RunState says whether a refused call was run by an upstream.
+	RunState string
+
+	// Refusal is the answer to a call that got no whole answer from an
+	// upstream.
+	Refusal struct {
+		// Status is the HTTP status.
+		Status int `json:"-"`
+		// Code names the reason in camel case, for programs.
+		Code string `json:"code"`
+		// Message says the reason and what to do next, for people.
+		Message string `json:"message"`
+		// RunState says whether the call was run.
+		RunState RunState `json:"runState"`
+		// RetryAfter is when a new attempt may succeed; zero says nothing.
+		RetryAfter time.Duration `json:"-"`
+	}
+)
+
+// Error returns the refusal as one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.RunState, r.Message)
+}
+
+// NewRefusal returns a refusal with the run state notRun.
+func NewRefusal(status int, code, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Message: message, RunState: NotRun}
+}
+
+func refuseUnavailable(state RunState, what string) *Refusal {
+	return &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "unavailable",
+		Message:    what + "; try again",
+		RunState:   state,
+		RetryAfter: unavailableRetry,
+	}
+}
+
+func refuseProgram(r *prog.Refusal) *Refusal {
+	refusal := &Refusal{
+		Status:   programStatus(r.Reason),
+		Code:     string(r.Reason),
+		Message:  programMessage(r.Reason),
+		RunState: RunState(r.RunState),
+	}
+	if r.Retryable {
+		refusal.RetryAfter = unavailableRetry
+	}
+	return refusal
+}
+
+func programStatus(reason prog.Reason) int {
+	switch reason {
+	case prog.ReasonUnknownProgram:
+		return http.StatusNotFound
+	case prog.ReasonEnded:
+		return http.StatusGone
+	case prog.ReasonBudgetCalls, prog.ReasonBudgetTokens, prog.ReasonBudgetSeconds:
+		return http.StatusPaymentRequired
+	case prog.ReasonConflict, prog.ReasonTurn:
+		return http.StatusConflict
+	case prog.ReasonDeadline, prog.ReasonOutcomeUnknown:
+		return http.StatusGatewayTimeout
+	case prog.ReasonInvalid, prog.ReasonTooManyAgents:
+		return http.StatusBadRequest
+	case prog.ReasonDamaged:
+		return http.StatusInternalServerError
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func programMessage(reason prog.Reason) string {
+	switch reason {
+	case prog.ReasonUnknownProgram:
+		return "no such program; open one with POST /v1/programs"
+	case prog.ReasonEnded:
+		return "the program has ended; open a new one"
+	case prog.ReasonBudgetCalls, prog.ReasonBudgetTokens, prog.ReasonBudgetSeconds:
+		return "the program's budget is used up; open a new one"
+	case prog.ReasonConflict:
+		return "the idempotency key was used with another request"
+	case prog.ReasonTurn:
+		return "the program is at another turn; read it with GET /v1/programs"
+	case prog.ReasonOutcomeUnknown:
+		return "an earlier call with this idempotency key may have run"
+	default:
+		return "the program could not go on: " + string(reason)
+	}
+}
+
+func refuseRoute(r *route.Refuse) *Refusal {
+	return &Refusal{
+		Status:     routeStatus(r),
+		Code:       routeCode(r),
+		Message:    r.Reason.Error(),
+		RunState:   RunState(r.RunState),
+		RetryAfter: r.RetryAfter,
+	}
+}
+
+func routeStatus(r *route.Refuse) int {
+	switch r.Reason {
+	case route.ErrPoison:
+		return http.StatusUnprocessableEntity
+	case route.ErrUpstreamFailed:
+		return http.StatusBadGateway
+	case route.ErrFinished:
+		return http.StatusConflict
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func routeCode(r *route.Refuse) string {
+	switch r.Reason {
+	case route.ErrQueueFull:
+		return "queueFull"
+	case route.ErrDeadline:
+		return "deadline"
+	case route.ErrNoUpstream:
+		return "noUpstream"
+	case route.ErrDependency:
+		return "dependency"
+	case route.ErrPoison:
+		return "poison"
+	case route.ErrUpstreamFailed:
+		return "upstreamFailed"
+	case route.ErrFinished:
+		return "finished"
+	default:
+		return "noUpstream"
+	}
+}
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -40,6 +40,9 @@
 	CommitInterval Duration `json:"commitInterval"`
 	// DrainTimeout bounds how long a planned stop waits for running calls.
 	DrainTimeout Duration `json:"drainTimeout"`
+	// DrainNotice is how long a planned stop goes on taking calls after it has
+	// told the balancer, which needs that time to see it.
+	DrainNotice Duration `json:"drainNotice"`
 	// IsolationTimeout is how long an instance that hears neither the platform
 	// nor a peer goes on serving.
 	IsolationTimeout Duration `json:"isolationTimeout"`
@@ -61,6 +64,7 @@
 		StoreTimeout:      Duration(2 * time.Second),
 		CommitInterval:    Duration(10 * time.Millisecond),
 		DrainTimeout:      Duration(30 * time.Second),
+		DrainNotice:       Duration(2 * time.Second),
 		IsolationTimeout:  Duration(2 * time.Second),
 	}
 }
--- a/deps.go
+++ b/deps.go
@@ -6,6 +6,8 @@
 	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/anishathalye/porcupine"
 	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/fxamacker/cbor/v2"
+	_ "github.com/google/uuid"
 	_ "github.com/hashicorp/go-hclog"
 	_ "github.com/juju/errors"
 	_ "github.com/oklog/run"
--- /dev/null
+++ b/entry/caller.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/buckthorntide/buckthorntide/calls"
+	"github.com/buckthorntide/buckthorntide/relay"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	apiKeyHeader = "X-Api-Key"
+)
+
+type callerHandler func(w http.ResponseWriter, q *http.Request, caller calls.Caller)
+
+// withCaller runs the handler for the team whose key came with the request.
+// The request's context ends when the key is withdrawn.
+func (s *Server) withCaller(next callerHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		caller, refusal := s.identify(q)
+		if refusal != nil {
+			writeRefusal(w, refusal)
+			return
+		}
+		ctx, cancel := context.WithCancelCause(q.Context())
+		defer cancel(nil)
+		release, err := s.watch.Register(caller.KeyID, func() { cancel(calls.ErrKeyWithdrawn) })
+		if err != nil {
+			writeRefusal(w, refuseKey("the key is unknown or withdrawn"))
+			return
+		}
+		defer release()
+		next(w, q.WithContext(ctx), caller)
+	}
+}
+
+func (s *Server) identify(q *http.Request) (calls.Caller, *calls.Refusal) {
+	if reason := s.health.Shut(); reason != "" {
+		return calls.Caller{}, calls.NewRefusal(http.StatusServiceUnavailable, "notReady", reason)
+	}
+	key := keyOf(q.Header)
+	if key == "" {
+		return calls.Caller{}, refuseKey("send the team's key as a bearer token")
+	}
+	if relay.ContainsKey(q.URL.String(), key) {
+		return calls.Caller{}, calls.NewRefusal(http.StatusBadRequest, "keyInRequest", "the key may stand in the Authorization header only")
+	}
+	identity, err := s.keys.Check(key)
+	if err != nil {
+		return calls.Caller{}, refuseKey("the key is unknown or withdrawn")
+	}
+	team, ok := s.texts.Text().Team(identity.Team)
+	if !ok {
+		return calls.Caller{}, refuseKey("the key's team is not in the text")
+	}
+	return calls.Caller{Team: team, KeyID: identity.KeyID, Key: key}, nil
+}
+
+func keyOf(header http.Header) string {
+	if token, ok := strings.CutPrefix(header.Get("Authorization"), bearerPrefix); ok {
+		return strings.TrimSpace(token)
+	}
+	return header.Get(apiKeyHeader)
+}
+
+func refuseKey(message string) *calls.Refusal {
+	return calls.NewRefusal(http.StatusUnauthorized, "unauthorised", message)
+}
--- /dev/null
+++ b/entry/service.go
@@ -0,0 +1,107 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/buckthorntide/buckthorntide/calls"
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/relay"
+)
+
+// callService finds the route first: only its text says whether a key is
+// needed.
+func (s *Server) callService(w http.ResponseWriter, q *http.Request) {
+	service, ok := s.texts.Text().Service(q.PathValue("service"))
+	path := "/" + q.PathValue("path")
+	route, known := service.Route(path)
+	if !ok || !known || service.Kind != conf.KindPlain {
+		writeRefusal(w, refuseRoute())
+		return
+	}
+	run := func(w http.ResponseWriter, q *http.Request, caller calls.Caller) {
+		s.runService(w, q, caller, calls.PlainCall{Service: service, Route: route, Path: path})
+	}
+	if route.OpenToAll && keyOf(q.Header) == "" {
+		s.open(run)(w, q)
+		return
+	}
+	s.withCaller(run)(w, q)
+}
+
+// open runs the handler without a key.
+func (s *Server) open(next callerHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		if reason := s.health.Shut(); reason != "" {
+			writeRefusal(w, calls.NewRefusal(http.StatusServiceUnavailable, "notReady", reason))
+			return
+		}
+		next(w, q, calls.Caller{})
+	}
+}
+
+func (s *Server) runService(w http.ResponseWriter, q *http.Request, caller calls.Caller, call calls.PlainCall) {
+	if caller.Team.Name != "" && !caller.MayCall(call.Service.Name) {
+		writeRefusal(w, refuseRoute())
+		return
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		writeRefusal(w, badRequest())
+		return
+	}
+	if relay.BodyContainsKey(body, caller.Key) {
+		writeRefusal(w, calls.NewRefusal(http.StatusBadRequest, "keyInRequest", "the key may stand in the Authorization header only"))
+		return
+	}
+	call.Caller = caller
+	call.Program = q.Header.Get(programHeader)
+	call.CallID = callID(q.Header)
+	call.Generated = q.Header.Get(idempotencyHeader) == ""
+	call.Attempt = uuid.NewString()
+	call.Method = q.Method
+	call.Query = q.URL.RawQuery
+	call.Header = relay.CleanHeader(q.Header, caller.Key)
+	call.Body = body
+	call.Digest = digestOf([]byte(q.Method + " " + call.Path + "?" + call.Query + "\n" + string(body)))
+	call.Deadline = s.common.Clock.Now().Add(serviceTimeout(q.Header, call.Service))
+	result, refusal := s.plain.Call(q.Context(), call)
+	if refusal != nil {
+		writeRefusal(w, refusal)
+		return
+	}
+	writePlain(w, result)
+}
+
+func serviceTimeout(header http.Header, service conf.Service) time.Duration {
+	timeout := timeoutOf(header)
+	if service.TimeoutSeconds > 0 {
+		timeout = min(timeout, time.Duration(service.TimeoutSeconds)*time.Second)
+	}
+	return timeout
+}
+
+func writePlain(w http.ResponseWriter, result calls.PlainResult) {
+	header := w.Header()
+	for name, values := range result.Answer.Header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(result.Answer.Body)))
+	header.Set(runStateHeader, string(calls.Ran))
+	if result.Turn > 0 {
+		header.Set(turnHeader, strconv.Itoa(result.Turn))
+	}
+	if result.Replayed {
+		header.Set(replayedHeader, "true")
+	}
+	w.WriteHeader(result.Answer.Status)
+	_, _ = w.Write(result.Answer.Body)
+}
+
+func refuseRoute() *calls.Refusal {
+	return calls.NewRefusal(http.StatusNotFound, "unknownRoute", "no such route for this team")
+}
--- a/main.go
+++ b/main.go
@@ -1,5 +1,13 @@
 // Command buckthorntide schedules agent programs over model engines and plain
-// services.
+// services. Every instance runs the same program.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/buckthorntide/buckthorntide/boot"
+)
+
+func main() {
+	os.Exit(boot.NewApp(os.Stdout, os.Stderr, os.Getenv).Run(os.Args[1:]))
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,260 @@
+// Package member runs the fleet's decisions: it sends the exchanges, commits
+// the seats' transactions and publishes the view that traffic reads.
+package member
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/ctrl"
+	"github.com/buckthorntide/buckthorntide/fleet"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/homes"
+	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+const (
+	// listInterval is the time between two reads of the platform's list.
+	listInterval = time.Second
+	// rowLimit bounds one read of seat or session rows.
+	rowLimit = 4096
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = time.Second
+)
+
+// Exchange is the remote method of a heartbeat and delegation request.
+var Exchange = peer.Method[fleet.PullRequest, fleet.PullReply]{Name: "Exchange"}
+
+type (
+	// Follower is a part that follows this instance's authority. All of its
+	// methods are called on the control thread.
+	Follower interface {
+		// SetAuthority tells the authority over a shard.
+		SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time)
+		// HandOver asks the part to give up shards in a planned handover.
+		HandOver(h fleet.Handover, now time.Time)
+	}
+
+	// Member is this instance's place in the fleet.
+	Member struct {
+		common    *common.Common
+		fleet     *fleet.Fleet
+		thread    *ctrl.Thread
+		conns     *peer.Conns
+		platform  store.Platform
+		self      store.Instance
+		followers []Follower
+		view      atomic.Pointer[fleet.View]
+		leaving   atomic.Bool
+		group     *group.Group
+	}
+)
+
+// NewMember returns a member that runs the fleet on the thread. Followers are
+// told of authority in the order given.
+func NewMember(
+	c *common.Common,
+	f *fleet.Fleet,
+	thread *ctrl.Thread,
+	conns *peer.Conns,
+	platform store.Platform,
+	self store.Instance,
+	followers ...Follower,
+) *Member {
+	m := &Member{
+		common:    c.Part("member"),
+		fleet:     f,
+		thread:    thread,
+		conns:     conns,
+		platform:  platform,
+		self:      self,
+		followers: followers,
+		group:     group.NewGroup(context.Background()),
+	}
+	m.view.Store(f.View())
+	return m
+}
+
+// Start begins to read the platform's list.
+func (m *Member) Start() { m.group.Go(m.followList) }
+
+// Close stops and waits; the control thread must still run.
+func (m *Member) Close() { m.group.Close() }
+
+// View returns the latest view of the fleet.
+func (m *Member) View() *fleet.View { return m.view.Load() }
+
+// Locate returns the home of a shard.
+func (m *Member) Locate(shard uint8) (homes.Place, bool) {
+	home, ok := m.View().Home(fleet.Shard(shard))
+	if !ok {
+		return homes.Place{}, false
+	}
+	return homes.Place{
+		Instance: home.Name,
+		Address:  home.Address,
+		Self:     home.Name == m.self.Name,
+	}, true
+}
+
+// Drain begins a planned stop.
+func (m *Member) Drain(ctx context.Context) error {
+	m.leaving.Store(true)
+	err := m.thread.Do(ctx, func(now time.Time) {
+		m.fleet.Drain(now)
+		m.publish()
+	})
+	if err != nil {
+		return err
+	}
+	return m.announce(ctx)
+}
+
+// Drained tells whether every shard and seat has been given up.
+func (m *Member) Drained(ctx context.Context) bool {
+	drained := false
+	err := m.thread.Do(ctx, func(now time.Time) { drained = m.fleet.Drained(now) })
+	return err == nil && drained
+}
+
+// SetDomainsOut follows the failure domains that the text takes out.
+func (m *Member) SetDomainsOut(domains []string, now time.Time) {
+	m.fleet.SetDomainsOut(domains, now)
+	m.publish()
+}
+
+// PlatformHeard says that the platform answered something.
+func (m *Member) PlatformHeard(ctx context.Context) {
+	_ = m.thread.Post(ctx, func(now time.Time) {
+		m.fleet.PlatformHeard(now)
+		m.publish()
+	})
+}
+
+// Handlers are the remote methods that the member answers.
+func (m *Member) Handlers() []peer.Handler {
+	return []peer.Handler{Exchange.Handle(m.handleExchange)}
+}
+
+// Tick runs the fleet once; it is called on the control thread.
+func (m *Member) Tick(now time.Time) {
+	actions := m.fleet.Tick(now)
+	m.publish()
+	for _, h := range actions.Handovers {
+		for _, f := range m.followers {
+			f.HandOver(h, now)
+		}
+	}
+	for _, a := range actions.Authority {
+		for _, f := range m.followers {
+			f.SetAuthority(a.Shard, a.Authority, now)
+		}
+	}
+	for _, e := range actions.Exchanges {
+		m.group.Go(func(ctx context.Context) { m.exchange(ctx, e) })
+	}
+	if actions.ReadRows {
+		m.group.Go(m.readRows)
+	}
+	if actions.Commit != nil {
+		m.group.Go(func(ctx context.Context) { m.commit(ctx, *actions.Commit) })
+	}
+}
+
+func (m *Member) publish() { m.view.Store(m.fleet.View()) }
+
+func (m *Member) handleExchange(ctx context.Context, q *fleet.PullRequest) (*fleet.PullReply, error) {
+	var reply fleet.PullReply
+	err := m.thread.Do(ctx, func(now time.Time) {
+		reply = m.fleet.HandlePull(*q, now)
+		m.publish()
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+func (m *Member) exchange(ctx context.Context, e fleet.Exchange) {
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	reply, err := m.callPeer(callCtx, e)
+	_ = m.thread.Post(ctx, func(now time.Time) {
+		if err != nil {
+			m.fleet.Failed(e.Peer.Name, e.Request.ID, now)
+		} else {
+			m.fleet.Received(e.Peer.Name, *reply, now)
+		}
+		m.publish()
+	})
+}
+
+func (m *Member) callPeer(ctx context.Context, e fleet.Exchange) (*fleet.PullReply, error) {
+	conn, err := m.conns.To(e.Peer.Address)
+	if err != nil {
+		return nil, err
+	}
+	return Exchange.Call(ctx, conn, &e.Request)
+}
+
+func (m *Member) readRows(ctx context.Context) {
+	seats, err := m.platform.Range(ctx, fleet.SeatPrefix, "", rowLimit)
+	var sessions []store.Row
+	if err == nil {
+		sessions, err = m.platform.Range(ctx, fleet.SessionPrefix, "", rowLimit)
+	}
+	_ = m.thread.Post(ctx, func(now time.Time) {
+		if err != nil {
+			m.fleet.ReadFailed(now)
+		} else {
+			m.fleet.RowsRead(seats, sessions, now)
+		}
+		m.publish()
+	})
+}
+
+func (m *Member) commit(ctx context.Context, txn store.Txn) {
+	version, err := m.platform.Commit(ctx, txn)
+	_ = m.thread.Post(ctx, func(now time.Time) {
+		m.fleet.Committed(txn.RequestID, version, err, now)
+		m.publish()
+	})
+}
+
+func (m *Member) followList(ctx context.Context) {
+	ticker := time.NewTicker(listInterval)
+	defer ticker.Stop()
+	for {
+		m.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *Member) readList(ctx context.Context) {
+	if err := m.announce(ctx); err != nil {
+		m.common.Log.Debug("Announcing failed.", "error", err)
+		return
+	}
+	instances, err := m.platform.ListInstances(ctx)
+	if err != nil {
+		m.common.Log.Debug("Reading the instance list failed.", "error", err)
+		return
+	}
+	_ = m.thread.Post(ctx, func(now time.Time) {
+		m.fleet.Listed(instances, now)
+		m.publish()
+	})
+}
+
+func (m *Member) announce(ctx context.Context) error {
+	self := m.self
+	self.Leaving = m.leaving.Load()
+	return m.platform.Announce(ctx, self)
+}
--- /dev/null
+++ b/peer/conns.go
@@ -0,0 +1,87 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// minReconnect is the first pause before a lost connection is tried again.
+	minReconnect = 50 * time.Millisecond
+	// maxReconnect is the longest such pause.
+	maxReconnect = 500 * time.Millisecond
+	// connectTimeout bounds one attempt to connect.
+	connectTimeout = time.Second
+)
+
+// Conns keeps one connection to each peer that was ever called. It is safe
+// for concurrent use.
+type Conns struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewConns returns an empty set of connections.
+func NewConns() *Conns {
+	return &Conns{conns: make(map[string]*grpc.ClientConn)}
+}
+
+// To returns the connection to the peer at the address (IP:port). It is made
+// when it is first used.
+func (c *Conns) To(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := dial(address)
+	if err != nil {
+		return nil, errors.WithType(err, ErrUnreachable)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// Keep closes the connections to every address that is not listed.
+func (c *Conns) Keep(addresses []string) {
+	wanted := make(map[string]struct{}, len(addresses))
+	for _, a := range addresses {
+		wanted[a] = struct{}{}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, conn := range c.conns {
+		if _, ok := wanted[a]; ok {
+			continue
+		}
+		_ = conn.Close()
+		delete(c.conns, a)
+	}
+}
+
+// Close closes every connection.
+func (c *Conns) Close() { c.Keep(nil) }
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(
+			grpc.ForceCodec(Codec{}),
+			grpc.MaxCallRecvMsgSize(maxMessageBytes),
+			grpc.MaxCallSendMsgSize(maxMessageBytes),
+		),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: minReconnect, Multiplier: 2, Jitter: 0.2, MaxDelay: maxReconnect},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}),
+	)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+)
+
+const (
+	// maxMessageBytes bounds one message; a long history is the largest.
+	maxMessageBytes = 64 << 20
+	// keepaliveInterval is the time between two pings on an idle connection.
+	keepaliveInterval = 10 * time.Second
+	// keepaliveTimeout is how long a ping waits before the connection is cut.
+	keepaliveTimeout = 2 * time.Second
+)
+
+// Server answers the methods of other instances.
+type Server struct {
+	common   *common.Common
+	listener net.Listener
+	server   *grpc.Server
+	group    *group.Group
+}
+
+// NewServer listens on the address (IP:port) and answers the registered
+// handlers once Start is called.
+func NewServer(c *common.Common, address string) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for peers")
+	}
+	return &Server{
+		common:   c.Part("peer"),
+		listener: listener,
+		server: grpc.NewServer(
+			grpc.ForceServerCodec(Codec{}),
+			grpc.MaxRecvMsgSize(maxMessageBytes),
+			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
+		),
+		group: group.NewGroup(context.Background()),
+	}, nil
+}
+
+// Register adds the handlers; it must be called once, before Start.
+func (s *Server) Register(handlers ...Handler) {
+	desc := &grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil)}
+	for _, h := range handlers {
+		desc.Methods = append(desc.Methods, h.desc)
+	}
+	s.server.RegisterService(desc, struct{}{})
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Start begins to answer.
+func (s *Server) Start() {
+	s.group.Go(func(context.Context) {
+		if err := s.server.Serve(s.listener); err != nil {
+			s.common.Log.Error("Serving peers ended.", "error", err)
+		}
+	})
+}
+
+// Close cuts every connection and waits until the server has stopped.
+func (s *Server) Close() {
+	s.server.Stop()
+	s.group.Close()
+}
--- /dev/null
+++ b/pools/home.go
@@ -0,0 +1,409 @@
+package pools
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/ctrl"
+	"github.com/buckthorntide/buckthorntide/engine"
+	"github.com/buckthorntide/buckthorntide/fleet"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/route"
+)
+
+const (
+	// settleTime is how long a new home waits for what the relaying instances
+	// have running before cold upstreams get work.
+	settleTime = 3 * time.Second
+	// relayedTimeout bounds one such question.
+	relayedTimeout = 2 * time.Second
+	// cachedPrograms bounds the programs whose caches a service's home knows.
+	cachedPrograms = 100_000
+)
+
+type (
+	// Viewer gives the latest view of the fleet.
+	Viewer interface {
+		View() *fleet.View
+	}
+
+	// Policy routes the calls of one service; route.Pool and route.Naive are
+	// policies.
+	Policy interface {
+		Configure(service conf.Service, domainsOut []string, now time.Time) []route.Decision
+		SetAuthority(exclusive bool, now time.Time) []route.Decision
+		SetAdmission(newPrograms bool)
+		SettleUntil(relays []string, until time.Time)
+		Adopt(s route.RelayState, now time.Time) []route.Decision
+		Forget(relay string, now time.Time) []route.Decision
+		Submit(c route.Call, now time.Time) []route.Decision
+		Cancel(id string, now time.Time) []route.Decision
+		Done(r route.Report, now time.Time) []route.Decision
+		ObserveLoad(name string, l engine.Load, now time.Time) []route.Decision
+		ObserveUnreachable(name string, now time.Time) []route.Decision
+		Suspects(now time.Time) []route.Suspect
+		AdoptSuspects(suspects []route.Suspect, now time.Time) []route.Decision
+		Usable(now time.Time) bool
+		Tick(now time.Time) []route.Decision
+		State(now time.Time) route.State
+	}
+
+	// NewPolicy makes the policy of one service.
+	NewPolicy func(index *engine.CacheIndex) Policy
+
+	// Canceller ends a request at a model engine.
+	Canceller interface {
+		CancelRequest(ctx context.Context, t engine.Target, requestID string) error
+	}
+
+	// Home answers for the services whose home this instance is. All of its
+	// state belongs to the control thread.
+	Home struct {
+		common    *common.Common
+		thread    *ctrl.Thread
+		conns     *peer.Conns
+		relayer   *Relayer
+		viewer    Viewer
+		newPolicy NewPolicy
+		engines   Canceller
+		text      *conf.Text
+		authority [fleet.ShardCount]fleet.Authority
+		services  map[string]*service
+		members   map[string]struct{}
+		group     *group.Group
+	}
+
+	// service is one service that this instance is the home of.
+	service struct {
+		config  conf.Service
+		policy  Policy
+		index   *engine.CacheIndex
+		waiting map[string]chan route.Decision
+	}
+)
+
+// NewHome returns a home without services.
+func NewHome(
+	c *common.Common,
+	thread *ctrl.Thread,
+	conns *peer.Conns,
+	relayer *Relayer,
+	engines Canceller,
+	newPolicy NewPolicy,
+) *Home {
+	return &Home{
+		common:    c.Part("pools"),
+		thread:    thread,
+		conns:     conns,
+		relayer:   relayer,
+		newPolicy: newPolicy,
+		engines:   engines,
+		text:      &conf.Text{},
+		services:  make(map[string]*service),
+		members:   make(map[string]struct{}),
+		group:     group.NewGroup(context.Background()),
+	}
+}
+
+// Follow sets whose view names the other instances; it must be called before
+// the control thread starts.
+func (h *Home) Follow(viewer Viewer) { h.viewer = viewer }
+
+// Close waits for questions under way.
+func (h *Home) Close() { h.group.Close() }
+
+// Handlers are the remote methods that the home answers.
+func (h *Home) Handlers() []peer.Handler {
+	return []peer.Handler{
+		Submit.Handle(h.submit),
+		Done.Handle(h.done),
+		Cancel.Handle(h.cancel),
+		Relayed.Handle(h.relayed),
+	}
+}
+
+// SetText brings the services into line with the text; it runs on the control
+// thread.
+func (h *Home) SetText(text *conf.Text, now time.Time) {
+	h.text = text
+	for name, s := range h.services {
+		config, ok := text.Service(name)
+		if !ok {
+			h.drop(name)
+			continue
+		}
+		s.config = config
+		h.apply(s, s.policy.Configure(config, text.DomainsOut, now))
+	}
+	for s := range h.authority {
+		h.follow(fleet.Shard(s), now)
+	}
+}
+
+// SetAuthority follows the fleet; it runs on the control thread.
+func (h *Home) SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time) {
+	h.authority[s] = a
+	h.follow(s, now)
+}
+
+// HandOver gives up the shards of a planned move; it runs on the control
+// thread.
+func (h *Home) HandOver(o fleet.Handover, now time.Time) {
+	for _, s := range o.Shards.Shards() {
+		h.SetAuthority(s, fleet.Authority{}, now)
+	}
+}
+
+// Tick runs every policy once; it runs on the control thread.
+func (h *Home) Tick(now time.Time) {
+	h.forgetLost(now)
+	h.admit(now)
+	for _, s := range h.services {
+		exclusive := h.authority[fleet.ShardOf(s.config.Name)].At(now).Exclusive
+		h.apply(s, s.policy.SetAuthority(exclusive, now))
+		h.apply(s, s.policy.Tick(now))
+	}
+}
+
+// States returns every policy's state; it runs on the control thread.
+func (h *Home) States(now time.Time) []route.State {
+	out := make([]route.State, 0, len(h.services))
+	for _, s := range h.services {
+		out = append(out, s.policy.State(now))
+	}
+	return out
+}
+
+// follow takes up or drops the services of a shard.
+func (h *Home) follow(shard fleet.Shard, now time.Time) {
+	holds := h.authority[shard].At(now).Seats > 0
+	for i := range h.text.Services {
+		config := h.text.Services[i]
+		if fleet.ShardOf(config.Name) != shard {
+			continue
+		}
+		_, known := h.services[config.Name]
+		switch {
+		case holds && !known:
+			h.takeUp(config, now)
+		case !holds && known:
+			h.drop(config.Name)
+		}
+	}
+}
+
+// takeUp becomes the home of a service: the relaying instances are asked what
+// they have running.
+func (h *Home) takeUp(config conf.Service, now time.Time) {
+	index := engine.NewCacheIndex(cachedPrograms)
+	s := &service{
+		config:  config,
+		policy:  h.newPolicy(index),
+		index:   index,
+		waiting: make(map[string]chan route.Decision),
+	}
+	h.services[config.Name] = s
+	members := h.viewer.View().Members
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Instance.Name)
+	}
+	s.policy.SettleUntil(names, now.Add(settleTime))
+	h.apply(s, s.policy.Configure(config, h.text.DomainsOut, now))
+	for _, m := range members {
+		h.group.Go(func(ctx context.Context) { h.askRelayed(ctx, m, config.Name) })
+	}
+}
+
+// drop gives a service up; who waits asks the next home.
+func (h *Home) drop(name string) {
+	s := h.services[name]
+	delete(h.services, name)
+	for _, c := range s.waiting {
+		close(c)
+	}
+}
+
+func (h *Home) askRelayed(ctx context.Context, m fleet.Member, name string) {
+	ctx, cancel := context.WithTimeout(ctx, relayedTimeout)
+	defer cancel()
+	reply, err := h.callRelayed(ctx, m, &RelayedRequest{Service: name})
+	if err != nil {
+		h.common.Log.Debug("An instance did not say what it relays.", "instance", m.Instance.Name, "error", err)
+		return
+	}
+	_ = h.thread.Post(ctx, func(now time.Time) {
+		if s, ok := h.services[name]; ok {
+			h.apply(s, s.policy.Adopt(reply.received(now), now))
+		}
+	})
+}
+
+func (h *Home) callRelayed(ctx context.Context, m fleet.Member, q *RelayedRequest) (*RelayedReply, error) {
+	if m.Instance.Name == h.viewer.View().Self.Name {
+		return h.relayed(ctx, q)
+	}
+	conn, err := h.conns.To(m.Instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	return Relayed.Call(ctx, conn, q)
+}
+
+func (h *Home) relayed(_ context.Context, q *RelayedRequest) (*RelayedReply, error) {
+	return h.relayer.List(q.Service, h.common.Clock.Now()), nil
+}
+
+// apply hands decisions to the calls that wait for them.
+func (h *Home) apply(s *service, decisions []route.Decision) {
+	for _, d := range decisions {
+		if d.Kind == route.KindCancel {
+			h.group.Go(func(ctx context.Context) { h.cancelRunning(ctx, s, d) })
+		}
+		if d.Kind != route.KindAssign && d.Kind != route.KindRefuse {
+			continue
+		}
+		if c, ok := s.waiting[d.Call]; ok {
+			delete(s.waiting, d.Call)
+			c <- d
+		}
+	}
+}
+
+// cancelRunning ends an attempt that nobody waits for any more.
+func (h *Home) cancelRunning(ctx context.Context, s *service, d route.Decision) {
+	ctx, cancel := context.WithTimeout(ctx, relayedTimeout)
+	defer cancel()
+	if s.config.Kind == conf.KindModel {
+		target := engine.Target{Address: d.Cancel.Address, Credential: s.config.Credential}
+		err := h.engines.CancelRequest(ctx, target, route.RequestID(d.Call, d.Cancel.Attempt))
+		if err != nil {
+			h.common.Log.Debug("A request was not cancelled.", "upstream", d.Cancel.Upstream, "error", err)
+		}
+	}
+	_ = h.thread.Post(ctx, func(now time.Time) {
+		h.apply(s, s.policy.Done(route.Report{
+			Call:     d.Call,
+			Upstream: d.Cancel.Upstream,
+			Attempt:  d.Cancel.Attempt,
+			Relay:    d.Relay,
+			Outcome:  route.OutcomeCancelled,
+		}, now))
+	})
+}
+
+// forgetLost tells the policies of relaying instances that are gone.
+func (h *Home) forgetLost(now time.Time) {
+	reachable := make(map[string]struct{})
+	for _, m := range h.viewer.View().Members {
+		if m.Reachable {
+			reachable[m.Instance.Name] = struct{}{}
+		}
+	}
+	for name := range h.members {
+		if _, ok := reachable[name]; ok {
+			continue
+		}
+		for _, s := range h.services {
+			h.apply(s, s.policy.Forget(name, now))
+		}
+	}
+	h.members = reachable
+}
+
+// admit follows the dependencies: only services of this home are known here,
+// others count as usable.
+func (h *Home) admit(now time.Time) {
+	statuses := make([]route.Status, 0, len(h.services))
+	for name, s := range h.services {
+		statuses = append(statuses, route.Status{Service: name, Usable: s.policy.Usable(now)})
+	}
+	for _, a := range route.Usable(h.text.Services, statuses) {
+		if s, ok := h.services[a.Service]; ok {
+			s.policy.SetAdmission(a.NewPrograms)
+		}
+	}
+}
+
+func (h *Home) submit(ctx context.Context, q *SubmitMessage) (*SubmitReply, error) {
+	c := make(chan route.Decision, 1)
+	known := false
+	err := h.thread.Do(ctx, func(now time.Time) {
+		s, ok := h.services[q.Service]
+		if known = ok; !ok {
+			return
+		}
+		s.waiting[q.Call.ID] = c
+		h.apply(s, s.policy.Submit(q.received(now), now))
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if !known {
+		return nil, peer.NotHome()
+	}
+	return h.await(ctx, q, c)
+}
+
+func (h *Home) await(ctx context.Context, q *SubmitMessage, c chan route.Decision) (*SubmitReply, error) {
+	select {
+	case d, ok := <-c:
+		if !ok {
+			return nil, peer.NotHome()
+		}
+		if d.Refuse != nil {
+			return &SubmitReply{Refuse: newRefuseReply(d.Refuse)}, nil
+		}
+		return &SubmitReply{Assign: d.Assign}, nil
+	case <-ctx.Done():
+		_ = h.thread.Post(context.WithoutCancel(ctx), func(time.Time) {
+			s, ok := h.services[q.Service]
+			if ok && s.waiting[q.Call.ID] == c {
+				delete(s.waiting, q.Call.ID)
+			}
+		})
+		return nil, errors.Trace(ctx.Err())
+	}
+}
+
+func (h *Home) done(ctx context.Context, q *DoneMessage) (*DoneReply, error) {
+	err := h.onService(ctx, q.Service, func(s *service, now time.Time) {
+		h.apply(s, s.policy.Done(q.Report, now))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &DoneReply{}, nil
+}
+
+func (h *Home) cancel(ctx context.Context, q *CancelMessage) (*CancelReply, error) {
+	err := h.onService(ctx, q.Service, func(s *service, now time.Time) {
+		h.apply(s, s.policy.Cancel(q.Call, now))
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &CancelReply{}, nil
+}
+
+func (h *Home) onService(ctx context.Context, name string, f func(s *service, now time.Time)) error {
+	known := false
+	err := h.thread.Do(ctx, func(now time.Time) {
+		s, ok := h.services[name]
+		if known = ok; ok {
+			f(s, now)
+		}
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if !known {
+		return peer.NotHome()
+	}
+	return nil
+}
--- /dev/null
+++ b/progs/client.go
@@ -0,0 +1,170 @@
+package progs
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/homes"
+	"github.com/buckthorntide/buckthorntide/prog"
+)
+
+const (
+	// resendInterval is the time between two reports of a turn or an opening
+	// that is not kept yet.
+	resendInterval = time.Second
+	// askTimeout bounds an opening or an end of a program.
+	askTimeout = 10 * time.Second
+)
+
+// Client asks the programs' homes. It keeps what a home has not yet kept and
+// sends it again until it is.
+type Client struct {
+	common  *common.Common
+	router  *homes.Router
+	carrier *Carrier
+	group   *group.Group
+
+	openCall  homes.Call[prog.OpenRequest, prog.OpenReply]
+	beginCall homes.Call[BeginMessage, prog.BeginReply]
+	endCall   homes.Call[prog.EndRequest, prog.EndReply]
+	closeCall homes.Call[prog.CloseRequest, prog.CloseReply]
+}
+
+// NewClient returns a client; home answers where this instance is the home.
+func NewClient(c *common.Common, router *homes.Router, home *Home, carrier *Carrier) *Client {
+	return &Client{
+		common:  c.Part("progs"),
+		router:  router,
+		carrier: carrier,
+		group:   group.NewGroup(context.Background()),
+		openCall: homes.Call[prog.OpenRequest, prog.OpenReply]{
+			Method: Open,
+			Local:  home.open,
+			Resend: func(q *prog.OpenRequest) { q.Resent = true },
+		},
+		beginCall: homes.Call[BeginMessage, prog.BeginReply]{Method: Begin, Local: home.begin},
+		endCall:   homes.Call[prog.EndRequest, prog.EndReply]{Method: End, Local: home.end},
+		closeCall: homes.Call[prog.CloseRequest, prog.CloseReply]{Method: Close, Local: home.closeProgram},
+	}
+}
+
+// Shutdown stops sending again; what is not kept by then is only in the homes'
+// memory.
+func (c *Client) Shutdown() { c.group.Close() }
+
+// Open opens a program.
+func (c *Client) Open(ctx context.Context, q *prog.OpenRequest) (*prog.OpenReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	program := q.Program
+	if q.Parent != "" {
+		program = q.Parent
+	}
+	reply, err := c.openCall.Ask(ctx, c.router, shardOf(program), q)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if reply.Refusal == nil && !reply.Kept {
+		c.group.Go(func(ctx context.Context) { c.reopen(ctx, *q, program) })
+	}
+	return reply, nil
+}
+
+// Begin waits until the call's turn has come.
+func (c *Client) Begin(ctx context.Context, q *prog.BeginRequest) (*prog.BeginReply, error) {
+	for {
+		message := newBeginMessage(*q, c.common.Clock.Now())
+		reply, err := c.beginCall.Ask(ctx, c.router, shardOf(q.Program), &message)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		if reply.Wait != nil && ctx.Err() == nil {
+			continue
+		}
+		if reply.Start != nil {
+			c.carrier.Add(prog.Running{Begin: *q, Turn: reply.Start.Turn, Previous: reply.Start.Previous})
+		}
+		return reply, nil
+	}
+}
+
+// End reports how a turn ended. A report that is not kept within the home's
+// bound is sent again after the return.
+func (c *Client) End(ctx context.Context, q *prog.EndRequest) (*prog.EndReply, error) {
+	reply, err := c.endOnce(ctx, q)
+	if err == nil && isSettled(reply) {
+		c.carrier.Remove(q.Attempt)
+		return reply, nil
+	}
+	c.group.Go(func(ctx context.Context) { c.endLater(ctx, q) })
+	return reply, errors.Trace(err)
+}
+
+// Close ends a program.
+func (c *Client) Close(ctx context.Context, q *prog.CloseRequest) (*prog.CloseReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := c.closeCall.Ask(ctx, c.router, shardOf(q.Program), q)
+	return reply, errors.Trace(err)
+}
+
+// endOnce asks until a home has an answer other than to come again.
+func (c *Client) endOnce(ctx context.Context, q *prog.EndRequest) (*prog.EndReply, error) {
+	for {
+		reply, err := c.endCall.Ask(ctx, c.router, shardOf(q.Program), q)
+		if err != nil || reply.Refusal == nil || !reply.Refusal.Retryable {
+			return reply, err
+		}
+		if !pause(ctx, resendInterval/4) {
+			return reply, nil
+		}
+	}
+}
+
+func (c *Client) endLater(ctx context.Context, q *prog.EndRequest) {
+	defer c.carrier.Remove(q.Attempt)
+	for pause(ctx, resendInterval) {
+		reply, err := c.endOnce(ctx, q)
+		if err != nil {
+			continue
+		}
+		if reply.Superseded {
+			c.common.Log.Warn("A turn was taken by another call.", "program", q.Program, "turn", q.Turn)
+		}
+		if isSettled(reply) {
+			return
+		}
+	}
+}
+
+func (c *Client) reopen(ctx context.Context, q prog.OpenRequest, program string) {
+	q.Resent = true
+	for pause(ctx, resendInterval) {
+		reply, err := c.openCall.Ask(ctx, c.router, shardOf(program), &q)
+		if err == nil && (reply.Kept || reply.Refusal != nil && !reply.Refusal.Retryable) {
+			return
+		}
+	}
+}
+
+func isSettled(reply *prog.EndReply) bool {
+	refused := reply.Refusal != nil && !reply.Refusal.Retryable
+	return reply.Kept || reply.Superseded || refused
+}
+
+func shardOf(program string) uint8 { return uint8(prog.ShardOf(program)) }
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/spread/peers.go
@@ -0,0 +1,244 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/keys"
+	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+// followPeers asks a few peers in each round what they know.
+func (s *Spread) followPeers(ctx context.Context) {
+	interval := time.Duration(s.common.Settings.HeartbeatInterval)
+	for {
+		peers := s.peers()
+		s.want(ctx, len(peers))
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		for _, p := range peers[:min(len(peers), syncPeers)] {
+			s.group.Go(func(ctx context.Context) { s.syncWith(ctx, p) })
+		}
+		if !pause(ctx, interval) {
+			return
+		}
+	}
+}
+
+// want sets how many peers stand in for the table service: with half of them
+// this instance is in the larger part of the fleet.
+func (s *Spread) want(ctx context.Context, peers int) {
+	half := max(1, (peers+1)/2)
+	_ = s.thread.Post(ctx, func(time.Time) {
+		s.ledger.Want(half)
+		for _, set := range s.sets {
+			set.Want(min(half, syncPeers))
+		}
+	})
+}
+
+func (s *Spread) syncWith(ctx context.Context, p store.Instance) {
+	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	sent := s.common.Clock.Now()
+	var q SyncMessage
+	if s.thread.Do(ctx, func(now time.Time) { q = s.state(now) }) != nil {
+		return
+	}
+	conn, err := s.conns.To(p.Address)
+	if err != nil {
+		return
+	}
+	reply, err := Sync.Call(callCtx, conn, &q)
+	if err != nil {
+		return
+	}
+	s.learnState(ctx, p, reply, sent)
+}
+
+func (s *Spread) learnState(ctx context.Context, p store.Instance, reply *SyncMessage, sent time.Time) {
+	var (
+		behind  bool
+		callers keys.Learned
+		admins  keys.Learned
+	)
+	err := s.thread.Do(ctx, func(time.Time) {
+		behind = s.ledger.Behind(reply.Stamp, reply.Instance)
+		callers = s.sets[keys.CallerKind].LearnPeer(reply.Callers, sent)
+		admins = s.sets[keys.AdminKind].LearnPeer(reply.Admins, sent)
+	})
+	if err != nil {
+		return
+	}
+	if behind {
+		s.fetchText(ctx, p)
+	}
+	s.fetchKeys(ctx, p, keys.CallerKind, callers)
+	s.fetchKeys(ctx, p, keys.AdminKind, admins)
+}
+
+func (s *Spread) fetchText(ctx context.Context, p store.Instance) {
+	conn, err := s.conns.To(p.Address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	head, err := FetchText.Call(ctx, conn, &FetchTextRequest{})
+	if err != nil {
+		return
+	}
+	_ = s.thread.Do(ctx, func(now time.Time) { s.learnHead(*head, p.Name, now) })
+}
+
+func (s *Spread) fetchKeys(ctx context.Context, p store.Instance, kind keys.Kind, learned keys.Learned) {
+	if !learned.Fetch && !learned.Reload {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	if learned.Fetch {
+		learned = s.fetchSince(ctx, p, kind)
+	}
+	if learned.Reload {
+		s.pageKeys(ctx, p, kind)
+	}
+}
+
+func (s *Spread) fetchSince(ctx context.Context, p store.Instance, kind keys.Kind) keys.Learned {
+	var learned keys.Learned
+	conn, err := s.conns.To(p.Address)
+	if err != nil {
+		return learned
+	}
+	q := &FetchKeysRequest{Kind: kind}
+	if s.thread.Do(ctx, func(time.Time) { q.After = s.sets[kind].Revision() }) != nil {
+		return learned
+	}
+	reply, err := FetchKeys.Call(ctx, conn, q)
+	if err != nil {
+		return learned
+	}
+	_ = s.thread.Do(ctx, func(time.Time) {
+		learned = s.sets[kind].LearnSince(reply.Changes, reply.Whole)
+		s.cut(learned.Cut)
+	})
+	return learned
+}
+
+// pageKeys reads a peer's whole set. The set counts as of the peer's revision
+// before the first page.
+func (s *Spread) pageKeys(ctx context.Context, p store.Instance, kind keys.Kind) {
+	conn, err := s.conns.To(p.Address)
+	if err != nil {
+		return
+	}
+	q := &PageKeysRequest{Kind: kind}
+	revision := int64(-1)
+	for {
+		reply, err := PageKeys.Call(ctx, conn, q)
+		if err != nil {
+			return
+		}
+		if revision < 0 {
+			revision = reply.Revision
+		}
+		err = s.thread.Do(ctx, func(time.Time) {
+			s.cut(s.sets[kind].LearnPage(reply.Page))
+			if reply.Last {
+				s.sets[kind].EndLoad(revision)
+			}
+		})
+		if err != nil || reply.Last {
+			return
+		}
+		q.After = reply.Page[len(reply.Page)-1].Hash
+	}
+}
+
+// push sends a change to every peer; who misses it learns it by Sync or from
+// the table service.
+func (s *Spread) push(q *PushMessage) {
+	for _, p := range s.peers() {
+		s.group.Go(func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+			defer cancel()
+			conn, err := s.conns.To(p.Address)
+			if err == nil {
+				_, err = Push.Call(ctx, conn, q)
+			}
+			if err != nil {
+				s.common.Log.Debug("A push was lost.", "instance", p.Name, "error", err)
+			}
+		})
+	}
+}
+
+func (s *Spread) state(now time.Time) SyncMessage {
+	return SyncMessage{
+		Instance: s.self,
+		Stamp:    s.ledger.Stamp(),
+		Callers:  s.sets[keys.CallerKind].State(s.self, now),
+		Admins:   s.sets[keys.AdminKind].State(s.self, now),
+	}
+}
+
+func (s *Spread) handleSync(ctx context.Context, _ *SyncMessage) (*SyncMessage, error) {
+	var reply SyncMessage
+	if err := s.thread.Do(ctx, func(now time.Time) { reply = s.state(now) }); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+func (s *Spread) handlePush(ctx context.Context, q *PushMessage) (*PushReply, error) {
+	if q.Change != nil && s.sets[q.Kind] == nil {
+		return nil, peer.NotHome()
+	}
+	err := s.thread.Do(ctx, func(now time.Time) {
+		if q.Head != nil {
+			s.learnHead(*q.Head, q.Instance, now)
+		}
+		if q.Change != nil {
+			s.cut(s.sets[q.Kind].Push(*q.Change))
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &PushReply{}, nil
+}
+
+func (s *Spread) handleFetchText(ctx context.Context, _ *FetchTextRequest) (*conf.Head, error) {
+	var head conf.Head
+	if err := s.thread.Do(ctx, func(time.Time) { head = s.ledger.Head() }); err != nil {
+		return nil, err
+	}
+	return &head, nil
+}
+
+func (s *Spread) handleFetchKeys(ctx context.Context, q *FetchKeysRequest) (*FetchKeysReply, error) {
+	set := s.sets[q.Kind]
+	if set == nil {
+		return nil, peer.NotHome()
+	}
+	reply := &FetchKeysReply{}
+	err := s.thread.Do(ctx, func(time.Time) { reply.Changes, reply.Whole = set.Since(q.After) })
+	return reply, err
+}
+
+func (s *Spread) handlePageKeys(ctx context.Context, q *PageKeysRequest) (*PageKeysReply, error) {
+	set := s.sets[q.Kind]
+	if set == nil {
+		return nil, peer.NotHome()
+	}
+	reply := &PageKeysReply{}
+	err := s.thread.Do(ctx, func(time.Time) {
+		reply.Revision = set.Revision()
+		reply.Page = set.Page(q.After, pageSize)
+		reply.Last = len(reply.Page) < pageSize
+	})
+	return reply, err
+}
--- /dev/null
+++ b/spread/poll.go
@@ -0,0 +1,157 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/keys"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+// followStore polls the table service, so that a push that was lost is made
+// up for.
+func (s *Spread) followStore(ctx context.Context) {
+	for {
+		if err := s.poll(ctx); err != nil && ctx.Err() == nil {
+			s.common.Log.Debug("Polling the table service failed.", "error", err)
+		}
+		members := len(s.viewer.View().Members)
+		if !pause(ctx, pollInterval+time.Duration(members)*pollShare) {
+			return
+		}
+	}
+}
+
+func (s *Spread) poll(ctx context.Context) error {
+	if err := s.pollText(ctx); err != nil {
+		return err
+	}
+	for _, kind := range []keys.Kind{keys.CallerKind, keys.AdminKind} {
+		if err := s.pollKeys(ctx, kind); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pollText reads the stamp and, only where it is newer, the text.
+func (s *Spread) pollText(ctx context.Context) error {
+	row, err := s.get(ctx, conf.StampKey)
+	if err != nil {
+		return err
+	}
+	stamp, err := conf.DecodeStamp(row)
+	if err != nil {
+		return err
+	}
+	behind := false
+	err = s.thread.Do(ctx, func(time.Time) { behind = s.ledger.Behind(stamp, conf.FromStore) })
+	if err != nil || !behind {
+		return err
+	}
+	if row, err = s.get(ctx, conf.HeadKey); err != nil {
+		return err
+	}
+	head, err := conf.DecodeHead(row)
+	if err != nil {
+		return err
+	}
+	return s.thread.Do(ctx, func(now time.Time) { s.learnHead(head, conf.FromStore, now) })
+}
+
+func (s *Spread) pollKeys(ctx context.Context, kind keys.Kind) error {
+	sent := s.common.Clock.Now()
+	row, err := s.get(ctx, kind.HeadKey())
+	if err != nil {
+		return err
+	}
+	var learned keys.Learned
+	doErr := s.thread.Do(ctx, func(time.Time) {
+		learned, err = s.sets[kind].LearnHead(row, sent)
+		s.cut(learned.Cut)
+	})
+	if doErr != nil || err != nil {
+		return errors.Trace(firstError(doErr, err))
+	}
+	if !learned.Reload {
+		return nil
+	}
+	head, err := keys.DecodeHead(row)
+	if err != nil {
+		return err
+	}
+	if err := s.loadKeys(ctx, kind, head.Revision); err != nil {
+		return err
+	}
+	return s.thread.Do(ctx, func(time.Time) {
+		learned, err := s.sets[kind].LearnHead(row, sent)
+		if err == nil {
+			s.cut(learned.Cut)
+		}
+	})
+}
+
+// loadKeys reads the whole set from the table service.
+func (s *Spread) loadKeys(ctx context.Context, kind keys.Kind, revision int64) error {
+	after := ""
+	for {
+		rows, err := s.table.Range(ctx, kind.RowPrefix(), after, pageSize)
+		if err != nil {
+			return err
+		}
+		var learnErr error
+		err = s.thread.Do(ctx, func(time.Time) {
+			cut, err := s.sets[kind].LearnRows(rows)
+			s.cut(cut)
+			learnErr = err
+		})
+		if err != nil {
+			return err
+		}
+		if learnErr != nil {
+			s.common.Log.Error("A key's row can't be read.", "error", learnErr)
+		}
+		if len(rows) < pageSize {
+			return s.thread.Do(ctx, func(time.Time) { s.sets[kind].EndLoad(revision) })
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// get reads a row, of version zero where it is absent.
+func (s *Spread) get(ctx context.Context, key string) (store.Row, error) {
+	row, err := s.table.Get(ctx, key)
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
+		return store.Row{}, errors.Trace(err)
+	}
+	now := s.common.Clock.Now()
+	s.storeHeard.Store(&now)
+	s.viewer.PlatformHeard(ctx)
+	if err != nil {
+		return store.Row{Key: key}, nil
+	}
+	return row, nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
