--- a/stand/engine.go
+++ b/stand/engine.go
@@ -59,6 +59,8 @@
 		Models []string
 		// Seed seeds the draws of lost events.
 		Seed uint64
+		// Observe is told of every call that begins to run; it must not block.
+		Observe func(EngineRunRecord)
 		// Held is shared by engines that serve the same programs.
 		Held *HeldPrefixes
 	}
--- a/stand/enginerun.go
+++ b/stand/enginerun.go
@@ -79,6 +79,13 @@
 		return err
 	}
 	defer e.leaveSlot(waiter)
+	observed(e.config.Observe, EngineRunRecord{
+		Engine:    e.config.Name,
+		RequestID: run.id,
+		Program:   run.program,
+		Messages:  run.request.Messages,
+		At:        time.Now(),
+	})
 	if run.poison {
 		e.crash(true)
 		return errCrashed
--- a/stand/service.go
+++ b/stand/service.go
@@ -24,6 +24,8 @@
 		Name string
 		// Seed seeds the draws of probable faults.
 		Seed uint64
+		// Observe is told of every call that runs; it must not block.
+		Observe func(ServiceRunRecord)
 	}
 
 	// ServiceFaults are the faults that a plain service shows.
@@ -168,7 +170,15 @@
 		http.Error(w, "planted failure", http.StatusInternalServerError)
 		return
 	}
-	run, crashed := s.run(callName(r.Header))
+	name := callName(r.Header)
+	run, crashed := s.run(name)
+	observed(s.config.Observe, ServiceRunRecord{
+		Service: s.config.Name,
+		Path:    r.URL.Path,
+		Name:    name,
+		Body:    string(body),
+		At:      time.Now(),
+	})
 	_ = wait(r.Context(), time.Duration(faults.Delay))
 	if crashed {
 		abort()
