Test the pool under random schedules, poison and load

Cause: the pool's promises had no tests; the random schedules found that a new controller believed a warmth from before a restart, and that a late success from before an unseen restart counted for the slow start.

Change: a warmth counts once a load report shows the same epoch; the first report of an upstream that has run calls starts its slow start again. Calls carry how many attempts the relay has begun, refusals how many they count, so that late messages can't start or refuse a call wrongly. Suspects and retries go to another failure domain; the retry budget covers a lost domain.

--- a/route/adopt.go
+++ b/route/adopt.go
@@ -150,22 +150,18 @@
 	return u
 }
 
-// adoptWarmths believes the youngest warmth of each upstream that this pool
-// has given nothing to.
+// adoptWarmths keeps the youngest warmth of each upstream.
 func (p *Pool) adoptWarmths(warmths []Warmth) {
 	for _, w := range warmths {
 		u := p.upstreams[w.Upstream]
-		if u == nil || u.leaving || u.assigned || w.Age > warmthAge {
+		if u == nil || u.leaving || w.Age > warmthAge {
 			continue
 		}
-		if u.warmKnown && w.Age >= u.warmAge {
+		if u.warmth.Upstream != "" && w.Age >= u.warmth.Age {
 			continue
 		}
-		if u.epoch != "" && w.Epoch != u.epoch {
-			continue
-		}
-		u.warmKnown, u.warmAge, u.warmEpoch = true, w.Age, w.Epoch
-		u.ramp.allowance = min(max(w.Allowance, u.ramp.cold), u.ramp.slots)
+		u.warmth = w
+		u.believeWarmth()
 	}
 }
 
--- a/route/call.go
+++ b/route/call.go
@@ -30,6 +30,12 @@
 		Fingerprint uint64
 		// Deadline is when the caller gives up; zero means never.
 		Deadline time.Time
+		// Attempts is how many attempts the relay has begun already, under any
+		// controller.
+		Attempts int
+		// Begun says that one of them may have run. A call that is not Repeatable
+		// is then refused with RunStateUnknown.
+		Begun bool
 		// Avoid names upstreams that the call should not go to.
 		Avoid []string
 	}
--- a/route/decision.go
+++ b/route/decision.go
@@ -56,7 +56,9 @@
 	Assign struct {
 		Upstream string
 		Address  string
-		// Attempt counts the call's assignments from one.
+		// Attempt counts the call's assignments from one. A relay that has begun
+		// this attempt before doesn't begin it again; if it has ended, the relay
+		// reports its end again.
 		Attempt int
 		// Priority orders calls in the engine; a lower value runs first.
 		Priority int
@@ -80,6 +82,9 @@
 	Refuse struct {
 		Reason   errors.ConstError
 		RunState RunState
+		// Attempts is how many attempts of the call the refusal counts. A relay
+		// that has begun more ignores it: it answers an older message.
+		Attempts int
 		// RetryAfter is when a new try may succeed; zero means never.
 		RetryAfter time.Duration
 	}
--- a/route/dispatch.go
+++ b/route/dispatch.go
@@ -169,24 +169,37 @@
 }
 
 // emptiest returns the upstream with the smallest batch that the call may go
-// to. Upstreams to avoid are taken if the text has no others.
+// to, in a failure domain that the call hasn't failed in as long as there is
+// one: a domain that fails takes its upstreams down one after the other.
+// Upstreams to avoid are taken if the text has no others.
 func (p *Pool) emptiest(e *entry, alone bool, now time.Time) *upstream {
+	if !slices.ContainsFunc(p.order, func(u *upstream) bool { return !u.leaving && !p.avoids(e, u) }) {
+		return p.anyFree(alone, now)
+	}
+	elsewhere := slices.ContainsFunc(p.order, func(u *upstream) bool {
+		return u.usable(now) && !p.avoids(e, u) && !p.sameDomain(e, u)
+	})
 	var best *upstream
-	others := false
 	for _, u := range p.order {
-		avoided := p.avoids(e, u)
-		others = others || (!avoided && !u.leaving)
-		if avoided || (alone && u.suspect != nil) || p.free(u, now) <= 0 {
+		if p.avoids(e, u) || p.free(u, now) <= 0 || (alone && u.suspect != nil) {
+			continue
+		}
+		if elsewhere && p.sameDomain(e, u) {
 			continue
 		}
 		if best == nil || len(u.running) < len(best.running) {
 			best = u
 		}
 	}
-	if best != nil || others {
-		return best
-	}
-	return p.anyFree(alone, now)
+	return best
+}
+
+// sameDomain says that the call has an upstream to avoid in u's domain.
+func (p *Pool) sameDomain(e *entry, u *upstream) bool {
+	return slices.ContainsFunc(e.Avoid, func(name string) bool {
+		a := p.upstreams[name]
+		return a != nil && a.FailureDomain == u.FailureDomain
+	})
 }
 
 func (p *Pool) anyFree(alone bool, now time.Time) *upstream {
@@ -225,7 +238,6 @@
 	e.startedAt = now
 	e.generation = u.ramp.generation
 	e.wasBegun, e.begun = e.begun, true
-	u.assigned = true
 	u.running[e.ID] = e
 	p.reserve(e, u, now)
 	p.chargeTeam(e)
--- a/route/done.go
+++ b/route/done.go
@@ -35,6 +35,9 @@
 func (p *Pool) detach(e *entry, u *upstream) {
 	delete(u.running, e.ID)
 	u.live -= e.PromptTokens
+	if len(u.running) == 0 {
+		u.prefillUntil = time.Time{}
+	}
 	if u.suspect == e {
 		u.suspect = nil
 	}
--- a/route/limits.go
+++ b/route/limits.go
@@ -10,7 +10,8 @@
 	MaxAttempts int
 	// RetryRatio is how many retries each success earns.
 	RetryRatio float64
-	// RetryBurst is the most retries that may be saved up.
+	// RetryBurst is the most retries that may be saved up. It is at least half
+	// the service's slots, so that a lost failure domain's calls can all go on.
 	RetryBurst float64
 	// PrefillRate is how many prompt tokens a second an engine computes; it is
 	// corrected by what is observed.
--- a/route/load.go
+++ b/route/load.go
@@ -20,6 +20,7 @@
 	p.observeCold(u, l.Coldish)
 	u.loadTotal = l.Running + l.Queued
 	u.loadAt = now
+	u.believeWarmth()
 	p.convict()
 	p.releaseHeld(now)
 	p.fill(u, now)
@@ -50,8 +51,9 @@
 	case u.epoch != "":
 		p.counters.Restarts++
 		p.restart(u, now)
-	case u.warmEpoch != "" && u.warmEpoch != epoch:
-		p.restart(u, now)
+	case u.begunRamp():
+		// It may have started again unseen since its slow start began.
+		u.reset()
 	}
 	u.epoch = epoch
 }
--- a/route/outcome.go
+++ b/route/outcome.go
@@ -41,3 +41,11 @@
 func (o Outcome) retriable() bool {
 	return o == OutcomeFailed || o == OutcomeCrashed || o.notBegun()
 }
+
+// runState says what is true of the call's run before its submission.
+func (c *Call) runState() RunState {
+	if c.Begun {
+		return RunStateUnknown
+	}
+	return RunStateNotRun
+}
--- /dev/null
+++ b/route/poison_test.go
@@ -0,0 +1,206 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/engine"
+	"github.com/buckthorntide/buckthorntide/route"
+)
+
+const poisonPrint = 666
+
+// poisonRun is a small fleet whose upstreams crash whenever they run the
+// poisonous request.
+type poisonRun struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Time
+	pool    *route.Pool
+	epochs  map[string]int
+	running map[string]*worldCall
+	calls   map[string]route.Call
+	ended   map[string]route.Refuse
+	done    map[string]bool
+	crashes []string
+}
+
+func newPoisonRun(t *testing.T, seed uint64, upstreams int) *poisonRun {
+	r := &poisonRun{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0),
+		epochs: make(map[string]int), running: make(map[string]*worldCall), calls: make(map[string]route.Call),
+		ended: make(map[string]route.Refuse), done: make(map[string]bool),
+	}
+	r.newPool(upstreams)
+	return r
+}
+
+func (r *poisonRun) newPool(upstreams int) {
+	r.pool = route.NewPool(route.DefaultLimits(), nil)
+	service := modelService(upstreams)
+	for i := range service.Upstreams {
+		service.Upstreams[i].ColdSlots = modelSlots
+	}
+	r.act(r.pool.Configure(service, nil, r.now))
+	r.load()
+}
+
+func (r *poisonRun) load() {
+	for _, u := range modelService(8).Upstreams {
+		r.act(r.pool.ObserveLoad(u.Name, engine.Load{Epoch: strconv.Itoa(r.epochs[u.Name])}, r.now))
+	}
+}
+
+func (r *poisonRun) submit(id string, fingerprint uint64) {
+	c := route.Call{
+		ID: id, Relay: fmt.Sprintf("r%d", r.random.IntN(3)), Program: id, Team: "t", Repeatable: true,
+		RunningProgram: true, Fingerprint: fingerprint, PromptTokens: 100,
+	}
+	r.calls[id] = c
+	r.act(r.pool.Submit(c, r.now))
+}
+
+func (r *poisonRun) act(decisions []route.Decision) {
+	for _, d := range decisions {
+		switch d.Kind {
+		case route.KindAssign:
+			r.running[d.Call] = &worldCall{
+				call: r.calls[d.Call], upstream: &worldUpstream{name: d.Assign.Upstream}, attempt: d.Assign.Attempt,
+			}
+		case route.KindRefuse:
+			r.ended[d.Call] = *d.Refuse
+		case route.KindCancel:
+			r.finish(d.Call, route.OutcomeCancelled)
+		}
+	}
+}
+
+func (r *poisonRun) finish(id string, outcome route.Outcome) {
+	c := r.running[id]
+	if c == nil {
+		return
+	}
+	delete(r.running, id)
+	r.done[id] = outcome == route.OutcomeCompleted
+	r.act(r.pool.Done(route.Report{
+		Call: id, Upstream: c.upstream.name, Attempt: c.attempt, Relay: c.call.Relay, Outcome: outcome,
+	}, r.now))
+}
+
+func (r *poisonRun) ids() []string {
+	ids := make([]string, 0, len(r.running))
+	for id := range r.running {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// step lets a tenth of a second pass: poison crashes its upstream, and others
+// complete now and then.
+func (r *poisonRun) step() {
+	r.now = r.now.Add(100 * time.Millisecond)
+	for _, id := range r.ids() {
+		c := r.running[id]
+		switch {
+		case c == nil:
+		case c.call.Fingerprint == poisonPrint:
+			r.crash(c.upstream.name)
+		case r.random.IntN(10) == 0:
+			r.finish(id, route.OutcomeCompleted)
+		}
+	}
+	r.act(r.pool.Tick(r.now))
+}
+
+func (r *poisonRun) crash(upstream string) {
+	r.crashes = append(r.crashes, upstream)
+	r.epochs[upstream]++
+	ids := r.ids()
+	r.random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		if c := r.running[id]; c != nil && c.upstream.name == upstream {
+			r.finish(id, route.OutcomeCrashed)
+		}
+	}
+}
+
+// TestPoisonIsStoppedAfterTwoUpstreams sends a request that crashes whatever
+// runs it, again and again, among others, with a takeover on the way.
+func TestPoisonIsStoppedAfterTwoUpstreams(t *testing.T) {
+	for seed := range uint64(40) {
+		r := newPoisonRun(t, seed, 8)
+		for i := range 200 {
+			if i < 100 {
+				r.submit(fmt.Sprintf("good%d", i), uint64(1000+i))
+			}
+			if i%10 == 5 {
+				r.submit(fmt.Sprintf("bad%d", i), poisonPrint)
+			}
+			r.step()
+			if i%10 == 9 {
+				r.load()
+			}
+		}
+		assert.Assert(t, len(r.crashes) <= 2, "seed %d: crashed %v", seed, r.crashes)
+		assert.Equal(t, r.ended["bad5"].Reason, route.ErrPoison)
+		assert.Equal(t, r.ended["bad5"].RunState, route.RunStateUnknown)
+		assert.Equal(t, r.ended["bad195"].RunState, route.RunStateNotRun)
+		for i := range 100 {
+			assert.Assert(t, r.done[fmt.Sprintf("good%d", i)], "seed %d: bystander %d: %+v", seed, i, r.ended[fmt.Sprintf("good%d", i)])
+		}
+		known := r.pool.Suspects(r.now)
+		assert.Equal(t, len(known), 1, "bystanders stayed under suspicion")
+		r.newPool(8)
+		r.act(r.pool.AdoptSuspects(known, r.now))
+		r.submit("again", poisonPrint)
+		assert.Equal(t, r.ended["again"].Reason, route.ErrPoison)
+	}
+}
+
+// TestCutIsNoCrash breaks one relay's connections to upstream after upstream:
+// the upstreams' load reports show that none has crashed.
+func TestCutIsNoCrash(t *testing.T) {
+	r := newPoisonRun(t, 1, 8)
+	for i := range 3 {
+		r.submit(fmt.Sprintf("good%d", i), 7)
+		id := r.ids()[0]
+		r.finish(id, route.OutcomeCrashed)
+		for range 60 {
+			r.now = r.now.Add(100 * time.Millisecond)
+			r.load()
+			r.act(r.pool.Tick(r.now))
+		}
+	}
+	for _, s := range r.pool.Suspects(r.now) {
+		for _, k := range s.Strikes {
+			assert.Assert(t, !k.Confirmed, "%+v", s)
+		}
+	}
+	assert.Equal(t, len(r.ended), 0)
+}
+
+// TestOutageConvictsNobody crashes a whole failure domain at once.
+func TestOutageConvictsNobody(t *testing.T) {
+	r := newPoisonRun(t, 1, 8)
+	for i := range 60 {
+		r.submit(fmt.Sprintf("good%d", i), uint64(1000+i))
+	}
+	for _, u := range []string{"e000", "e003", "e006"} {
+		r.crash(u)
+	}
+	r.load()
+	for range 100 {
+		r.step()
+	}
+	for i := range 60 {
+		assert.Assert(t, r.done[fmt.Sprintf("good%d", i)], "%d %+v", i, r.ended[fmt.Sprintf("good%d", i)])
+	}
+	assert.Equal(t, len(r.pool.Suspects(r.now)), 0)
+}
--- a/route/pool.go
+++ b/route/pool.go
@@ -80,10 +80,13 @@
 func (p *Pool) Configure(service conf.Service, domainsOut []string, now time.Time) []Decision {
 	p.service = service
 	named := make(map[string]bool, len(service.Upstreams))
+	slots := 0
 	for _, c := range service.Upstreams {
+		slots += c.Slots
 		named[c.Name] = true
 		p.configure(c, slices.Contains(domainsOut, c.FailureDomain))
 	}
+	p.budget.grow(slots)
 	for _, u := range p.order {
 		if !named[u.Name] {
 			u.leaving = true
--- a/route/retry.go
+++ b/route/retry.go
@@ -1,5 +1,8 @@
 package route
 
+// retryShare is the share of the service's slots that may be retried at once.
+const retryShare = 0.5
+
 // retryBudget lets a share of successes be spent on retries, so that retries
 // can't multiply the load of a service that fails.
 type retryBudget struct {
@@ -12,6 +15,13 @@
 	return retryBudget{tokens: l.RetryBurst, ratio: l.RetryRatio, burst: l.RetryBurst}
 }
 
+// grow raises the burst to the service's size.
+func (b *retryBudget) grow(slots int) {
+	burst := max(b.burst, retryShare*float64(slots))
+	b.tokens += burst - b.burst
+	b.burst = burst
+}
+
 func (b *retryBudget) succeed() {
 	b.tokens = min(b.tokens+b.ratio, b.burst)
 }
--- a/route/submit.go
+++ b/route/submit.go
@@ -20,6 +20,7 @@
 	}
 	if refusal := p.refusal(&c, now); refusal != nil {
 		p.counters.Refused++
+		refusal.Attempts = c.Attempts
 		p.decideRefuse(c.ID, c.Relay, refusal)
 		return p.take()
 	}
@@ -33,7 +34,7 @@
 	e := p.calls[id]
 	switch {
 	case e == nil:
-		p.finished.add(id, RunStateNotRun)
+		p.finished.add(id, RunStateUnknown)
 	case e.state == stateRunning:
 		p.cancelRunning(e)
 	default:
@@ -63,19 +64,22 @@
 		return &Refuse{Reason: ErrFinished, RunState: state}
 	}
 	if p.suspects.convicted(c.Fingerprint) {
-		return &Refuse{Reason: ErrPoison, RunState: RunStateNotRun}
+		return &Refuse{Reason: ErrPoison, RunState: c.runState()}
+	}
+	if c.Begun && !c.Repeatable {
+		return &Refuse{Reason: ErrUpstreamFailed, RunState: RunStateUnknown}
 	}
 	if !c.Deadline.IsZero() && !now.Before(c.Deadline) {
-		return &Refuse{Reason: ErrDeadline, RunState: RunStateNotRun}
+		return &Refuse{Reason: ErrDeadline, RunState: c.runState()}
 	}
 	if c.RunningProgram {
 		return p.refuseLate(c, now)
 	}
 	if p.blocked {
-		return &Refuse{Reason: ErrDependency, RunState: RunStateNotRun, RetryAfter: unusableRetry}
+		return &Refuse{Reason: ErrDependency, RunState: c.runState(), RetryAfter: unusableRetry}
 	}
 	if !p.settling.active && !p.Usable(now) {
-		return &Refuse{Reason: ErrNoUpstream, RunState: RunStateNotRun, RetryAfter: unusableRetry}
+		return &Refuse{Reason: ErrNoUpstream, RunState: c.runState(), RetryAfter: unusableRetry}
 	}
 	return p.refuseLate(c, now)
 }
@@ -88,10 +92,10 @@
 	}
 	wait := p.expectedWait(c.Team)
 	if p.queued >= p.limits.MaxQueued && !p.makeRoom(c) {
-		return &Refuse{Reason: ErrQueueFull, RunState: RunStateNotRun, RetryAfter: wait}
+		return &Refuse{Reason: ErrQueueFull, RunState: c.runState(), RetryAfter: wait}
 	}
 	if !c.Deadline.IsZero() && now.Add(wait).After(c.Deadline) {
-		return &Refuse{Reason: ErrDeadline, RunState: RunStateNotRun, RetryAfter: wait}
+		return &Refuse{Reason: ErrDeadline, RunState: c.runState(), RetryAfter: wait}
 	}
 	return nil
 }
@@ -154,6 +158,7 @@
 func (p *Pool) enter(c Call, now time.Time) {
 	c.Avoid = slices.Clone(c.Avoid)
 	e := &entry{Call: c, queuedAt: now, index: -1, dueIndex: -1}
+	e.attempt, e.begun = c.Attempts, c.Begun
 	e.key = orderKey(&e.Call, now)
 	e.team = p.team(c.Team)
 	p.calls[c.ID] = e
@@ -207,6 +212,7 @@
 // refuse ends a call with a refusal.
 func (p *Pool) refuse(e *entry, r *Refuse) {
 	p.counters.Refused++
+	r.Attempts = e.attempt
 	p.decideRefuse(e.ID, e.Relay, r)
 	p.finish(e, r.RunState)
 }
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -41,13 +41,8 @@
 	live int
 	// epoch is from the last load report; empty means that none came.
 	epoch string
-	// assigned says that this pool has given it work.
-	assigned bool
-	// warmKnown says that a relay's warmth was believed; warmAge and warmEpoch
-	// are its.
-	warmKnown bool
-	warmAge   time.Duration
-	warmEpoch string
+	// warmth is the youngest one that a relay reported to this pool.
+	warmth Warmth
 	// failures and slow count in a row.
 	failures int
 	slow     int
@@ -86,6 +81,28 @@
 	u.slowness = 1
 }
 
+// believeWarmth takes a reported warmth over once a load report shows that the
+// upstream hasn't started again since, unless this pool has found it cold.
+func (u *upstream) believeWarmth() {
+	if u.warmth.Upstream == "" || u.loadAt.IsZero() || u.warmth.Epoch != u.epoch || u.ramp.generation > 0 {
+		return
+	}
+	u.ramp.allowance = min(max(u.warmth.Allowance, u.ramp.allowance), u.ramp.slots)
+}
+
+// begunRamp says that a success has counted for the slow start or may do so.
+func (u *upstream) begunRamp() bool {
+	if u.ramp.allowance > u.ramp.cold || u.ramp.successes > 0 {
+		return true
+	}
+	for _, e := range u.running {
+		if e.generation == u.ramp.generation {
+			return true
+		}
+	}
+	return false
+}
+
 // goDown keeps work away for a time that doubles until it is reached again.
 func (u *upstream) goDown(l *Limits, now time.Time) {
 	if now.Before(u.downUntil) {
