Decide homes, seats, delegation and team limits

Cause: teams' rate and burst must hold over all instances together, and an ownership change must delay rather than refuse. Change: fleet decides membership, homes by rendezvous hashing, seats under sessions in the table service, and delegations to homes; limit keeps a bucket a team at the home, exact between touches without touching idle buckets. The home with a majority of a shard's seats mints the whole grant, any other none: shares of all homes still sum to at most one, and a lost seat costs nothing.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,66 +7,356 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
-// Fleet ties membership, seats and delegation of one instance together. It is
-// not safe for concurrent use: one thread owns it.
-type Fleet struct {
-	config Config
-	rng    *rand.Rand
-	view   *View
-}
+const (
+	// stretchMembers is the number of members from which on delegations last
+	// longer in proportion, so that a seat holder's bytes a second stay bounded.
+	stretchMembers = 48
+	// pullsPerTTL is how many times a delegation is extended before it lapses.
+	pullsPerTTL = 3
+	// guardShare is the share of a delegation's TTL, as a divisor, that is left
+	// when it no longer counts as lasting.
+	guardShare = 6
+	// probesPerInterval is how many instances without seats are probed in one
+	// interval of a fleet that is too large for a full mesh.
+	probesPerInterval = 2
+	// exchangeTimeout is when an exchange without a reply has failed.
+	exchangeTimeout = time.Second
+	// readInterval is the time between two reads of the rows in a full mesh.
+	readInterval = 2 * time.Second
+	// jitterShare spreads exchanges by up to this share, as a divisor.
+	jitterShare = 10
+)
+
+type (
+	// Fleet ties membership, seats and delegation of one instance together. It
+	// is not safe for concurrent use: one thread owns it.
+	Fleet struct {
+		config     Config
+		rng        *rand.Rand
+		membership *membership
+		seats      *Seats
+		delegator  *Delegator
+		book       *Book
+
+		nextID    uint64
+		nextSelf  time.Time
+		nextProbe time.Time
+		cursor    int
+		pending   map[uint64]pendingExchange
+		handovers []activeHandover
+		// homesMoved says that the homes changed since the last tick.
+		homesMoved bool
+		draining   bool
+		traffic    Traffic
+
+		view          *View
+		viewMembers   []Member
+		viewHomes     *homes
+		viewAuthority *authorities
+		membersStale  bool
+		lastPlan      seatPlan
+		planStale     bool
+	}
+
+	pendingExchange struct {
+		peer string
+		sent time.Time
+	}
+
+	// activeHandover is a planned handover that holders may not know of yet.
+	activeHandover struct {
+		release Release
+		acked   map[string]uint64
+		until   time.Time
+	}
+)
 
 // NewFleet returns the fleet as a fresh process sees it.
 func NewFleet(c Config, now time.Time, rng *rand.Rand) *Fleet {
-	homes := &[ShardCount]int16{}
-	return &Fleet{config: c, rng: rng, view: &View{
-		Self: c.Self, Members: []Member{{Instance: c.Self, Fit: true, Reachable: true}},
-		IsolatedAfter: now, homes: homes, authority: &[ShardCount]Authority{},
-	}}
+	f := &Fleet{
+		config:       c,
+		rng:          rng,
+		membership:   newMembership(c.Self, c.HeartbeatInterval, now),
+		seats:        NewSeats(c),
+		delegator:    &Delegator{},
+		book:         NewBook(c.DelegationTTL / guardShare),
+		pending:      make(map[uint64]pendingExchange),
+		membersStale: true,
+		planStale:    true,
+	}
+	f.publish(now)
+	return f
 }
 
 // Tick does what is due at now and returns what is to be done. The caller
 // reads now before the call and sends the exchanges and the commit after it.
-func (f *Fleet) Tick(now time.Time) Actions { return Actions{} }
+func (f *Fleet) Tick(now time.Time) Actions {
+	var a Actions
+	f.expire(now)
+	f.refresh(now)
+	f.book.Tick(now)
+	a.HomesChanged = f.homesMoved
+	f.homesMoved = false
+	a.Handovers = f.handOver(now)
+	if a.HomesChanged || len(a.Handovers) > 0 {
+		f.hurry(now)
+	}
+	f.exchangeSelf(now)
+	a.Exchanges = f.exchanges(now)
+	f.runSeats(&a, now)
+	a.Authority = f.takeAuthority(now)
+	f.publish(now)
+	return a
+}
 
 // View returns the current snapshot. Take it anew after each call that takes
 // a time.
 func (f *Fleet) View() *View { return f.view }
 
+// Traffic returns what the exchanges of this instance weighed so far.
+func (f *Fleet) Traffic() Traffic { return f.traffic }
+
 // HandlePull answers a peer's request. The caller reads now after the request
 // came in.
-func (f *Fleet) HandlePull(r PullRequest, now time.Time) PullReply { return PullReply{ID: r.ID} }
+func (f *Fleet) HandlePull(r PullRequest, now time.Time) PullReply {
+	f.traffic.received(r.WireBytes())
+	f.hear(r.From, now)
+	f.refresh(now)
+	reply := f.delegator.HandlePull(r, f.offer(now), now)
+	reply.From = f.heartbeat(now)
+	f.traffic.sent(reply.WireBytes())
+	f.publish(now)
+	return reply
+}
 
 // Received takes a peer's reply to an exchange.
-func (f *Fleet) Received(peer string, r PullReply, now time.Time) {}
+func (f *Fleet) Received(peer string, r PullReply, now time.Time) {
+	f.traffic.received(r.WireBytes())
+	delete(f.pending, r.ID)
+	f.hear(r.From, now)
+	f.observe(peer, true, now)
+	f.book.Received(peer, r, now)
+	f.retry(peer, r.RetryAfter, now)
+	f.refresh(now)
+	f.publish(now)
+}
 
 // Failed says that an exchange with a peer had no reply.
-func (f *Fleet) Failed(peer string, id uint64, now time.Time) {}
+func (f *Fleet) Failed(peer string, id uint64, now time.Time) {
+	if _, ok := f.pending[id]; !ok {
+		return
+	}
+	delete(f.pending, id)
+	f.book.Failed(peer, id)
+	f.observe(peer, false, now)
+}
 
 // Observe says whether a call to a peer outside of the exchanges came through.
-func (f *Fleet) Observe(peer string, ok bool, now time.Time) {}
+func (f *Fleet) Observe(peer string, ok bool, now time.Time) {
+	f.observe(peer, ok, now)
+	f.refresh(now)
+	f.publish(now)
+}
+
+// Hurry makes the next tick exchange with all seat holders. Call it when the
+// state of a planned handover came in.
+func (f *Fleet) Hurry(now time.Time) { f.hurry(now) }
 
 // Listed takes the platform's list of instances.
-func (f *Fleet) Listed(instances []store.Instance, now time.Time) {}
+func (f *Fleet) Listed(instances []store.Instance, now time.Time) {
+	f.membership.listInstances(instances, now)
+	f.membersStale = true
+	f.refresh(now)
+	f.publish(now)
+}
 
 // PlatformHeard says that the platform answered something else.
-func (f *Fleet) PlatformHeard(now time.Time) {}
+func (f *Fleet) PlatformHeard(now time.Time) {
+	f.membership.platformHeard = now
+	f.publish(now)
+}
 
 // SetDomainsOut names the failure domains that are taken out.
-func (f *Fleet) SetDomainsOut(domains []string, now time.Time) {}
+func (f *Fleet) SetDomainsOut(domains []string, now time.Time) {
+	f.membership.domainsOut = domains
+	f.refresh(now)
+	f.publish(now)
+}
 
 // RowsRead takes the rows that Actions.ReadRows asked for.
-func (f *Fleet) RowsRead(seats, sessions []store.Row, now time.Time) {}
+func (f *Fleet) RowsRead(seats, sessions []store.Row, now time.Time) {
+	f.membership.platformHeard = now
+	f.seats.RowsRead(seats, sessions, f.readEvery(), now)
+	f.seeSessions()
+	f.planStale = true
+	f.refresh(now)
+	f.publish(now)
+}
 
 // ReadFailed says that the rows could not be read.
-func (f *Fleet) ReadFailed(now time.Time) {}
+func (f *Fleet) ReadFailed(now time.Time) { f.seats.ReadFailed(now) }
 
 // Committed takes the outcome of Actions.Commit: the version, or the error of
 // store.Table.Commit.
-func (f *Fleet) Committed(requestID string, version int64, err error, now time.Time) {}
+func (f *Fleet) Committed(requestID string, version int64, err error, now time.Time) {
+	if err == nil {
+		f.membership.platformHeard = now
+	}
+	f.seats.Committed(requestID, version, err, now)
+	f.planStale = true
+	f.publish(now)
+}
 
 // Drain begins a planned stop: shards are handed over and seats are released.
-func (f *Fleet) Drain(now time.Time) {}
+func (f *Fleet) Drain(now time.Time) {
+	f.draining = true
+	f.membership.draining = true
+	f.seats.Drain()
+	f.refresh(now)
+	f.publish(now)
+}
+
+// Drained says that a drain is through: no seat is held, no shard has
+// authority, and the seat holders had time to hear of the handovers.
+func (f *Fleet) Drained(now time.Time) bool {
+	f.dropHandovers(now)
+	return f.draining && f.seats.Released() && len(f.handovers) == 0 && f.book.Held(now) == 0
+}
+
+// refresh judges the members anew.
+func (f *Fleet) refresh(now time.Time) {
+	if f.membership.refresh(now) {
+		f.homesMoved = true
+		f.planStale = true
+		f.membersStale = true
+	}
+}
+
+func (f *Fleet) hear(h Heartbeat, now time.Time) {
+	known := f.membership.byName[h.Instance.Name]
+	if known == nil || known.seats != h.Seats || known.saidLeaving != h.Instance.Leaving {
+		f.membersStale = true
+	}
+	f.membership.heartbeat(h, now)
+}
+
+func (f *Fleet) observe(peer string, ok bool, now time.Time) {
+	m := f.membership.byName[peer]
+	if m != nil && (m.failures > 0) == ok {
+		f.membersStale = true
+	}
+	f.membership.observe(peer, ok, now)
+}
+
+// seeSessions takes members from the session rows, in case the list lags.
+func (f *Fleet) seeSessions() {
+	for _, m := range f.membership.members {
+		m.seated = false
+	}
+	for name, w := range f.seats.sessions {
+		if name == f.config.Self.Name {
+			continue
+		}
+		in := store.Instance{Name: name, Address: w.row.Address, FailureDomain: w.row.FailureDomain}
+		f.membership.add(in).seated = true
+	}
+	f.membersStale = true
+}
+
+// offer is what this instance has to delegate.
+func (f *Fleet) offer(now time.Time) Offer {
+	return Offer{
+		Seats: len(f.seats.Usable(now)),
+		Until: f.seats.Until(),
+		TTL:   f.ttl(),
+		Home:  f.membership.home,
+	}
+}
+
+func (f *Fleet) heartbeat(now time.Time) Heartbeat {
+	in := f.config.Self
+	in.Leaving = f.draining
+	return Heartbeat{
+		Instance: in,
+		Epoch:    f.config.Epoch,
+		Seats:    len(f.seats.Usable(now)),
+		Suspects: f.membership.suspects(),
+	}
+}
+
+// ttl is how long a delegation lasts in a fleet of this size.
+func (f *Fleet) ttl() time.Duration {
+	n := len(f.membership.members)
+	if n <= stretchMembers {
+		return f.config.DelegationTTL
+	}
+	return f.config.DelegationTTL * time.Duration(n) / stretchMembers
+}
+
+// interval is the time between two exchanges with a peer.
+func (f *Fleet) interval() time.Duration {
+	if len(f.membership.members) <= MeshLimit {
+		return f.config.HeartbeatInterval
+	}
+	return f.ttl() / pullsPerTTL
+}
+
+// readEvery is the time between two reads of the rows.
+func (f *Fleet) readEvery() time.Duration {
+	every := min(readInterval, f.config.SeatTTL/renewShare)
+	if len(f.membership.members) <= MeshLimit {
+		return every
+	}
+	return max(every, f.interval())
+}
+
+// runSeats begins the next read or commit. After an outcome that is not known
+// the read comes first.
+func (f *Fleet) runSeats(a *Actions, now time.Time) {
+	if !f.seats.fresh {
+		a.ReadRows = f.seats.ReadDue(now)
+	}
+	a.Commit = f.seats.Next(f.plan(), f.delegator.Latest(), now)
+	if a.Commit == nil && !a.ReadRows {
+		a.ReadRows = f.seats.ReadDue(now)
+	}
+}
+
+// plan shares the seats out over the fit members.
+func (f *Fleet) plan() seatPlan {
+	if !f.planStale {
+		return f.lastPlan
+	}
+	f.planStale = false
+	f.lastPlan = planSeats(f.candidates())
+	return f.lastPlan
+}
 
-// Drained says that a drain is through: no seat is held and no shard has
-// authority.
-func (f *Fleet) Drained(now time.Time) bool { return false }
+// candidates are the fit members.
+func (f *Fleet) candidates() []candidate {
+	holders := f.seats.Holders()
+	candidates := make([]candidate, 0, len(f.membership.members))
+	for _, m := range f.membership.members {
+		if !m.fit {
+			continue
+		}
+		name := m.instance.Name
+		candidates = append(candidates, candidate{
+			name: name, domain: m.instance.FailureDomain, hash: m.hash, held: holders[name],
+		})
+	}
+	return candidates
+}
+
+// takeAuthority lists the shards whose authority changed.
+func (f *Fleet) takeAuthority(now time.Time) []AuthorityChange {
+	changed := f.book.TakeChanged()
+	if changed.Empty() {
+		return nil
+	}
+	changes := make([]AuthorityChange, 0, changed.Len())
+	for _, s := range changed.Shards() {
+		changes = append(changes, AuthorityChange{Shard: s, Authority: f.book.Of(s, now)})
+	}
+	return changes
+}
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -11,6 +11,8 @@
 	Heartbeat struct {
 		// Instance is the sender. Its Leaving field says that it is draining.
 		Instance store.Instance `json:"instance"`
+		// Epoch tells the sender's process from others of the same name.
+		Epoch uint64 `json:"epoch"`
 		// Seats is the number of seats that the sender holds.
 		Seats int `json:"seats,omitempty"`
 		// Suspects names peers that the sender has lost. The receiver checks
@@ -25,6 +27,9 @@
 		Handover uint64 `json:"handover"`
 		// To is the name of the next home.
 		To string `json:"to"`
+		// Acked is the id of the last reply of this holder that the home had
+		// received when it gave the shards up.
+		Acked uint64 `json:"acked"`
 		// Shards are the shards that were given up.
 		Shards Bitmap `json:"shards"`
 	}
@@ -62,6 +67,9 @@
 		// TTL is how long the delegation holds, counted by the asker from the
 		// moment before it sent the request.
 		TTL time.Duration `json:"ttl,omitempty"`
+		// RetryAfter is when the first of the shards that were refused comes free,
+		// or zero.
+		RetryAfter time.Duration `json:"retryAfter,omitempty"`
 		// Handed lists the granted shards that came by a planned handover.
 		Handed []Handed `json:"handed,omitempty"`
 	}
--- /dev/null
+++ b/fleet/traffic.go
@@ -0,0 +1,72 @@
+package fleet
+
+const (
+	// frameBytes is what HTTP/2 and gRPC add to a message of a stream.
+	frameBytes = 14
+	// packetBytes is what TCP and IP add to a packet and its acknowledgement.
+	packetBytes = 80
+	// tagBytes is the tag and length of a field.
+	tagBytes = 2
+	// idBytes is the size of a 64-bit number that is drawn at random.
+	idBytes = 9
+	// numberBytes is the size of a small number with its tag.
+	numberBytes = 4
+)
+
+// Traffic counts the messages of exchanges and their bytes on the wire.
+type Traffic struct {
+	MessagesSent     int64 `json:"messagesSent"`
+	BytesSent        int64 `json:"bytesSent"`
+	MessagesReceived int64 `json:"messagesReceived"`
+	BytesReceived    int64 `json:"bytesReceived"`
+}
+
+func (t *Traffic) sent(bytes int) {
+	t.MessagesSent++
+	t.BytesSent += int64(bytes)
+}
+
+func (t *Traffic) received(bytes int) {
+	t.MessagesReceived++
+	t.BytesReceived += int64(bytes)
+}
+
+// WireBytes returns what the request weighs on the wire as a message of a
+// stream, encoded as a protocol buffer, with the packet's headers.
+func (r PullRequest) WireBytes() int {
+	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + r.Shards.wireBytes()
+	for _, rel := range r.Releases {
+		n += tagBytes + idBytes + tagBytes + len(rel.To) + numberBytes + rel.Shards.wireBytes()
+	}
+	return n
+}
+
+// WireBytes returns what the reply weighs on the wire.
+func (r PullReply) WireBytes() int {
+	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + r.Granted.wireBytes()
+	if r.Seats > 0 {
+		n += 2 * numberBytes
+	}
+	if r.RetryAfter > 0 {
+		n += numberBytes
+	}
+	return n + len(r.Handed)*(tagBytes+idBytes+numberBytes)
+}
+
+func (h Heartbeat) wireBytes() int {
+	n := tagBytes + idBytes + numberBytes
+	n += tagBytes + len(h.Instance.Name) + tagBytes + len(h.Instance.Address)
+	n += tagBytes + len(h.Instance.FailureDomain)
+	for _, s := range h.Suspects {
+		n += tagBytes + len(s)
+	}
+	return n
+}
+
+// wireBytes is the size of the shorter of the bitmap and a list.
+func (b *Bitmap) wireBytes() int {
+	if b.Empty() {
+		return 0
+	}
+	return tagBytes + min(BitmapBytes, b.Len())
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -37,14 +37,11 @@
 		// hears the platform or a peer before.
 		IsolatedAfter time.Time
 
-		homes     *[ShardCount]int16
-		authority *[ShardCount]Authority
+		homes     *homes
+		authority *authorities
 	}
 )
 
-// noHome marks a shard without a home.
-const noHome = -1
-
 // Home returns the instance that is home of the shard; false if none is fit.
 func (v *View) Home(s Shard) (store.Instance, bool) {
 	i := v.homes[s]
@@ -63,7 +60,7 @@
 // Authority returns this instance's authority over the shard at a moment. Ask
 // for it right before each use.
 func (v *View) Authority(s Shard, now time.Time) Authority {
-	return v.authority[s].At(now)
+	return v.authority.of(s).At(now)
 }
 
 // Isolated says whether neither the platform nor a peer was heard for so long
--- a/limit/message.go
+++ b/limit/message.go
@@ -13,6 +13,9 @@
 	Granted
 	// Waiting says that a later Tick decides.
 	Waiting
+	// Moved says that the shard was handed over while the request waited. Ask
+	// its next home, with the same id.
+	Moved
 )
 
 type (
@@ -41,6 +44,9 @@
 		Verdict Verdict
 		// RetryAfter says, with Refused, when it is worth to ask again.
 		RetryAfter time.Duration
+		// Recovering says, with Refused, that the home had no full authority or
+		// had it for a short time only, so that the team may be within its grant.
+		Recovering bool
 		// Until says, with Waiting, when the request is decided at the latest.
 		Until time.Time
 	}
--- /dev/null
+++ b/limit/refusal_test.go
@@ -0,0 +1,188 @@
+package limit_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/limit"
+)
+
+const (
+	callerWait = 5 * time.Second
+	settleTime = 70 * time.Second
+	faultTime  = 30 * time.Second
+)
+
+type (
+	// exact is one bucket on true time that nothing ever happens to.
+	exact struct {
+		grant limit.Grant
+		level float64
+		last  time.Duration
+	}
+
+	// load sends a team's requests to the instances that are up.
+	load struct {
+		w     *world
+		team  string
+		grant limit.Grant
+		use   float64
+		clump int
+		// noisy sends also what the exact bucket refuses.
+		noisy   bool
+		exact   exact
+		naive   []exact
+		within  int
+		wrong   int
+		naively int
+		granted int
+		waits   []time.Duration
+	}
+)
+
+func (e *exact) take(now time.Duration) bool {
+	e.level = min(e.grant.Burst, e.level+e.grant.RatePerSecond*(now-e.last).Seconds())
+	e.last = now
+	if e.level < 1 {
+		return false
+	}
+	e.level--
+	return true
+}
+
+func newLoad(w *world, i int, rate, burst, use float64, clump int) *load {
+	l := &load{w: w, team: fmt.Sprintf("team%d", i), grant: limit.Grant{RatePerSecond: rate, Burst: burst}, use: use, clump: clump}
+	l.exact = exact{grant: l.grant, level: burst}
+	n := float64(len(w.nodes))
+	part := limit.Grant{RatePerSecond: rate / n, Burst: burst / n}
+	for range w.nodes {
+		l.naive = append(l.naive, exact{grant: part, level: part.Burst})
+	}
+	return l
+}
+
+// start sends clumps of requests with exponential gaps.
+func (l *load) start(from, until time.Duration) {
+	var next func()
+	next = func() {
+		if l.w.now >= until {
+			return
+		}
+		for range l.clump {
+			l.send()
+		}
+		gap := l.w.rng.ExpFloat64() * float64(l.clump) / (l.grant.RatePerSecond * l.use)
+		l.w.after(time.Duration(gap*float64(time.Second)), next)
+	}
+	l.w.at(from, next)
+}
+
+// send brings one request to an instance that the balancer thinks is up. A team
+// that is not noisy stays within its rate and burst exactly.
+func (l *load) send() {
+	n := l.w.nodes[l.w.rng.IntN(len(l.w.nodes))]
+	for !n.alive || n.leaving || l.w.now < n.paused {
+		n = l.w.nodes[l.w.rng.IntN(len(l.w.nodes))]
+	}
+	within := l.exact.take(l.w.now)
+	if !within && !l.noisy {
+		return
+	}
+	naive := n.index < len(l.naive) && l.naive[n.index].take(l.w.now)
+	if within {
+		l.within++
+		if !naive {
+			l.naively++
+		}
+	}
+	process := n.process
+	n.request(l.team, l.grant, callerWait, func(granted bool, waited time.Duration) {
+		if granted {
+			l.granted++
+			l.waits = append(l.waits, waited)
+		}
+		if within && !granted && n.process == process {
+			l.wrong++
+		}
+	})
+}
+
+// scenario runs teams of different sizes through a fault.
+func scenario(t *testing.T, seed uint64, use float64, length time.Duration, fault func(w *world)) (within, wrong, naive int) {
+	t.Helper()
+	w := newWorld(seed, 12, 90*time.Second)
+	loads := make([]*load, 0, 48)
+	for i := range 48 {
+		rate := math.Pow(2, float64(i%6)) // 1 to 32 a second
+		l := newLoad(w, i, rate, 2*rate+4, use, 1+i%4)
+		if i%12 == 11 {
+			l.noisy, l.use = true, 5
+		}
+		loads = append(loads, l)
+	}
+	for _, l := range loads {
+		l.start(settleTime, settleTime+length-2*callerWait)
+	}
+	w.at(settleTime+faultTime, func() { fault(w) })
+	for w.now < settleTime+length {
+		w.run(w.now + 100*time.Millisecond)
+		w.check()
+	}
+	waited := 0.0
+	granted := 0
+	for _, l := range loads {
+		if !l.noisy {
+			within += l.within
+			wrong += l.wrong
+			naive += l.naively
+		}
+		granted += l.granted
+		for _, d := range l.waits {
+			waited += d.Seconds()
+		}
+		assert.Assert(t, w.overGranted(l.team, l.grant) < 1e-6, "%s got more than its grant", l.team)
+	}
+	assert.Equal(t, len(w.errs), 0, "%v", w.errs[:min(3, len(w.errs))])
+	t.Logf("use %.2f: %d within grant, refused wrongly: ours %d (%.5f), rate/N %d (%.4f); mean wait %.4fs; %d writes",
+		use, within, wrong, float64(wrong)/float64(within), naive, float64(naive)/float64(within), waited/float64(granted), w.writes)
+	return within, wrong, naive
+}
+
+func TestRefusals(t *testing.T) {
+	die := func(w *world) { w.nodes[w.rng.IntN(12)].alive = false }
+	drain := func(w *world) {
+		n := w.nodes[w.rng.IntN(12)]
+		n.leaving = true
+		n.fleet.Drain(n.clock())
+	}
+	down := func(w *world) {
+		w.down = true
+		w.after(60*time.Second, func() { w.down = false })
+	}
+	tests := []struct {
+		name   string
+		length time.Duration
+		fault  func(w *world)
+		// most is the largest share of requests within the grant that may be
+		// refused.
+		most float64
+	}{
+		{"steady", 90 * time.Second, func(*world) {}, 0},
+		{"instance death", 120 * time.Second, die, 1e-4},
+		{"store down", 120 * time.Second, down, 0},
+		{"planned handover", 90 * time.Second, drain, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			for _, use := range []float64{0.7, 0.9} {
+				within, wrong, naive := scenario(t, 7, use, test.length, test.fault)
+				assert.Check(t, float64(wrong) <= test.most*float64(within), "%d of %d", wrong, within)
+				assert.Check(t, naive > wrong)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/limit/world_test.go
@@ -0,0 +1,475 @@
+package limit_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/fleet"
+	"github.com/buckthorntide/buckthorntide/limit"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+const (
+	fleetTick  = 100 * time.Millisecond
+	limitTick  = 20 * time.Millisecond
+	listEvery  = time.Second
+	askTimeout = 300 * time.Millisecond
+	storeLag   = 2 * time.Second
+)
+
+type (
+	event struct {
+		at   time.Duration
+		turn int
+		do   func()
+	}
+	eventQueue []event
+
+	// faults are the chances of what may happen to a message or a commit.
+	faults struct {
+		loss, double, slow   float64
+		lostAnswer, lateEdge float64
+	}
+
+	// world runs instances in one thread on true time. Each has a clock of its
+	// own that drifts.
+	world struct {
+		now     time.Duration
+		turn    int
+		events  eventQueue
+		rng     *rand.Rand
+		faults  faults
+		nodes   []*node
+		rows    map[string]store.Row
+		writes  int64
+		down    bool
+		cut     map[[2]int]bool
+		errs    []string
+		seatTTL time.Duration
+		grants  map[string][]time.Duration
+	}
+
+	// node is one instance; its process changes when it restarts.
+	node struct {
+		w       *world
+		index   int
+		in      store.Instance
+		drift   float64
+		skew    time.Duration
+		alive   bool
+		paused  time.Duration
+		process int
+		fleet   *fleet.Fleet
+		buckets *limit.Buckets
+		asks    map[uint64]*ask
+		served  map[uint64]*served
+		leaving bool
+	}
+
+	// served is a request as its home saw it.
+	served struct {
+		from    *node
+		team    string
+		granted bool
+	}
+
+	// ask is a caller's request at the instance that it came to.
+	ask struct {
+		limit.TakeRequest
+		node     *node
+		came     time.Duration
+		deadline time.Duration
+		resend   time.Duration
+		to       *node
+		done     func(granted bool, waited time.Duration)
+	}
+)
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].turn < q[j].turn
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newWorld(seed uint64, count int, seatTTL time.Duration) *world {
+	w := &world{
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		rows:   make(map[string]store.Row),
+		cut:    make(map[[2]int]bool),
+		grants: make(map[string][]time.Duration), seatTTL: seatTTL,
+	}
+	for range count {
+		w.addNode()
+	}
+	return w
+}
+
+func (w *world) addNode() *node {
+	i := len(w.nodes)
+	n := &node{w: w, index: i, in: store.Instance{
+		Name:          fmt.Sprintf("i%02d", i),
+		Address:       fmt.Sprintf("10.0.0.%d:1", i),
+		FailureDomain: string(rune('a' + i%3)),
+	}}
+	w.nodes = append(w.nodes, n)
+	n.start()
+	return n
+}
+
+func (w *world) at(t time.Duration, do func()) {
+	w.turn++
+	heap.Push(&w.events, event{at: t, turn: w.turn, do: do})
+}
+
+func (w *world) after(d time.Duration, do func()) { w.at(w.now+d, do) }
+
+func (w *world) run(until time.Duration) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+func (w *world) delay() time.Duration {
+	if w.chance(w.faults.slow) {
+		return time.Duration(w.rng.Int64N(int64(6 * time.Second)))
+	}
+	return time.Millisecond + time.Duration(w.rng.Int64N(int64(time.Millisecond)))
+}
+
+// start begins a new process with a clock of its own.
+func (n *node) start() {
+	n.alive, n.paused, n.leaving = true, 0, false
+	n.process++
+	n.drift = (n.w.rng.Float64()*2 - 1) * 500e-6
+	n.skew = time.Duration(n.w.rng.Int64N(int64(time.Hour)))
+	n.asks = make(map[uint64]*ask)
+	n.served = make(map[uint64]*served)
+	n.fleet = fleet.NewFleet(fleet.Config{
+		Self: n.in, Epoch: n.w.rng.Uint64() | 1, HeartbeatInterval: 500 * time.Millisecond,
+		DelegationTTL: 3 * time.Second, SeatTTL: n.w.seatTTL, IsolationTimeout: 2 * time.Second,
+	}, n.clock(), rand.New(rand.NewPCG(n.w.rng.Uint64(), 2)))
+	n.buckets = limit.NewBuckets()
+	n.loop(0, listEvery, n.list)
+	n.loop(time.Duration(n.w.rng.Int64N(int64(fleetTick))), fleetTick, n.tick)
+	n.loop(time.Duration(n.w.rng.Int64N(int64(limitTick))), limitTick, n.tickBuckets)
+}
+
+func (n *node) clock() time.Time {
+	local := time.Duration(float64(n.w.now) * (1 + n.drift))
+	return time.Unix(1_000_000, 0).Add(n.skew + local)
+}
+
+// loop runs f as long as the process lives.
+func (n *node) loop(first, every time.Duration, f func()) {
+	var again func()
+	again = func() {
+		f()
+		n.later(every, again)
+	}
+	n.later(first, again)
+}
+
+// later runs f in this process after a time and not while it is paused.
+func (n *node) later(d time.Duration, f func()) {
+	process := n.process
+	var run func()
+	run = func() {
+		switch {
+		case !n.alive || n.process != process:
+		case n.w.now < n.paused:
+			n.w.at(n.paused, run)
+		default:
+			f()
+		}
+	}
+	n.w.after(d, run)
+}
+
+// send delivers a message to another process, late, twice or not at all.
+func (n *node) send(to *node, f func()) {
+	w := n.w
+	if to == n {
+		f()
+		return
+	}
+	if w.cut[[2]int{n.index, to.index}] || w.chance(w.faults.loss) {
+		return
+	}
+	to.later(w.delay(), f)
+	if w.chance(w.faults.double) {
+		to.later(w.delay(), f)
+	}
+}
+
+func (n *node) list() {
+	if n.w.down {
+		return
+	}
+	var list []store.Instance
+	for _, o := range n.w.nodes {
+		if o.alive {
+			in := o.in
+			in.Leaving = o.leaving
+			list = append(list, in)
+		}
+	}
+	n.later(storeLag, func() { n.fleet.Listed(list, n.clock()) })
+}
+
+func (n *node) tick() {
+	a := n.fleet.Tick(n.clock())
+	for _, h := range a.Handovers {
+		n.handOver(h)
+	}
+	for _, c := range a.Authority {
+		n.buckets.SetAuthority(c.Shard, c.Authority, n.clock())
+	}
+	for _, x := range a.Exchanges {
+		n.exchange(x)
+	}
+	if a.ReadRows {
+		n.read()
+	}
+	if a.Commit != nil {
+		n.commit(*a.Commit)
+	}
+	n.resend()
+}
+
+func (n *node) handOver(h fleet.Handover) {
+	to := n.w.find(h.To.Name)
+	for _, s := range h.Shards.Shards() {
+		l := n.buckets.Export(s, h.ID, n.clock())
+		n.send(to, func() {
+			to.buckets.Import(l, to.clock())
+			to.fleet.Hurry(to.clock())
+		})
+	}
+}
+
+func (w *world) find(name string) *node {
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.in.Name == name })
+	return w.nodes[i]
+}
+
+func (n *node) exchange(x fleet.Exchange) {
+	to := n.w.find(x.Peer.Name)
+	process := n.process
+	if !to.alive {
+		n.later(2*time.Millisecond, func() { n.fleet.Failed(to.in.Name, x.Request.ID, n.clock()) })
+		return
+	}
+	n.send(to, func() {
+		reply := to.fleet.HandlePull(x.Request, to.clock())
+		to.send(n, func() {
+			if n.process == process {
+				n.fleet.Received(to.in.Name, reply, n.clock())
+			}
+		})
+	})
+}
+
+func (n *node) read() {
+	n.later(5*time.Millisecond, func() {
+		if n.w.down {
+			n.later(2*time.Second, func() { n.fleet.ReadFailed(n.clock()) })
+			return
+		}
+		seats, sessions := n.w.rangeRows(fleet.SeatPrefix), n.w.rangeRows(fleet.SessionPrefix)
+		n.later(5*time.Millisecond, func() { n.fleet.RowsRead(seats, sessions, n.clock()) })
+	})
+}
+
+func (w *world) rangeRows(prefix string) []store.Row {
+	var rows []store.Row
+	for key, row := range w.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+func (n *node) commit(txn store.Txn) {
+	w := n.w
+	done := func(version int64, err error) { n.fleet.Committed(txn.RequestID, version, err, n.clock()) }
+	switch {
+	case w.down:
+		n.later(2*time.Second, func() { done(0, store.ErrUnavailable) })
+	case w.chance(w.faults.lostAnswer):
+		w.after(5*time.Millisecond, func() { w.apply(txn) })
+		n.later(2*time.Second, func() { done(0, store.ErrUnknown) })
+	case w.chance(w.faults.lateEdge):
+		w.after(time.Duration(w.rng.Int64N(int64(20*time.Second))), func() { w.apply(txn) })
+		n.later(2*time.Second, func() { done(0, store.ErrUnknown) })
+	default:
+		w.after(5*time.Millisecond, func() {
+			version, err := w.apply(txn)
+			n.later(5*time.Millisecond, func() { done(version, err) })
+		})
+	}
+}
+
+func (w *world) apply(txn store.Txn) (int64, error) {
+	for _, c := range txn.Conditions {
+		if w.rows[c.Key].Version != c.Version {
+			return 0, store.ErrConflict
+		}
+	}
+	w.writes++
+	version := w.writes
+	for _, x := range txn.Writes {
+		if x.Delete {
+			delete(w.rows, x.Key)
+			continue
+		}
+		w.rows[x.Key] = store.Row{Key: x.Key, Value: x.Value, Version: version}
+	}
+	return version, nil
+}
+
+// request brings a caller's request to an instance.
+func (n *node) request(team string, g limit.Grant, wait time.Duration, done func(bool, time.Duration)) {
+	a := &ask{node: n, came: n.w.now, deadline: n.w.now + wait, done: done, TakeRequest: limit.TakeRequest{
+		ID: n.w.rng.Uint64(), Team: team, Shard: fleet.ShardOf(team), Grant: g, Tokens: 1,
+	}}
+	n.asks[a.ID] = a
+	n.ask(a)
+}
+
+// ask sends a request to the home that this instance believes in.
+func (n *node) ask(a *ask) {
+	home, ok := n.fleet.View().Home(a.Shard)
+	a.resend = n.w.now + askTimeout
+	if !ok {
+		return
+	}
+	a.to = n.w.find(home.Name)
+	r := a.TakeRequest
+	r.MaxWait = a.deadline - n.w.now
+	to := a.to
+	n.send(to, func() {
+		if to.served[r.ID] == nil {
+			to.served[r.ID] = &served{from: n, team: r.Team}
+		}
+		to.answer(to.buckets.Take(r, to.clock()))
+	})
+}
+
+func (n *node) tickBuckets() {
+	for _, reply := range n.buckets.Tick(n.clock()) {
+		n.answer(reply)
+	}
+}
+
+// answer counts a grant at the moment of its decision and sends the reply.
+func (n *node) answer(reply limit.TakeReply) {
+	s := n.served[reply.ID]
+	if reply.Verdict == limit.Granted && !s.granted {
+		s.granted = true
+		n.w.grants[s.team] = append(n.w.grants[s.team], n.w.now)
+	}
+	n.send(s.from, func() { s.from.replied(reply) })
+}
+
+// replied settles a request.
+func (n *node) replied(reply limit.TakeReply) {
+	a := n.asks[reply.ID]
+	if a == nil {
+		return
+	}
+	switch reply.Verdict {
+	case limit.Waiting:
+		a.resend = a.deadline
+	case limit.Moved:
+		n.ask(a)
+	default:
+		delete(n.asks, reply.ID)
+		a.done(reply.Verdict == limit.Granted, n.w.now-a.came)
+	}
+}
+
+// resend asks anew where there was no reply.
+func (n *node) resend() {
+	for _, id := range slices.Sorted(mapKeys(n.asks)) {
+		a := n.asks[id]
+		home, _ := n.fleet.View().Home(a.Shard)
+		switch {
+		case n.w.now >= a.deadline:
+			delete(n.asks, id)
+			a.done(false, n.w.now-a.came)
+		case a.to != nil && a.to.in.Name != home.Name:
+			n.ask(a)
+		case n.w.now >= a.resend:
+			if a.to != nil && a.to != n {
+				n.fleet.Observe(a.to.in.Name, false, n.clock())
+			}
+			n.ask(a)
+		}
+	}
+}
+
+// check notes where two instances believe that they have the same authority.
+func (w *world) check() {
+	var holder [fleet.SeatCount]int
+	for _, n := range w.nodes {
+		v := n.fleet.View()
+		if !n.alive || !n.clock().Before(v.SeatsUntil) {
+			continue
+		}
+		for _, k := range v.Seats {
+			if holder[k]++; holder[k] > 1 {
+				w.errs = append(w.errs, fmt.Sprintf("seat %d has two holders at %v", k, w.now))
+			}
+		}
+	}
+	for s := range fleet.ShardCount {
+		seats := 0
+		for _, n := range w.nodes {
+			if n.alive {
+				seats += n.fleet.View().Authority(fleet.Shard(s), n.clock()).Seats
+			}
+		}
+		if seats > fleet.SeatCount {
+			w.errs = append(w.errs, fmt.Sprintf("shard %d has %d seats at %v", s, seats, w.now))
+		}
+	}
+}
+
+// overGranted returns the most that a team got over its rate and burst in any
+// window of true time.
+func (w *world) overGranted(team string, g limit.Grant) float64 {
+	level, last, worst := g.Burst, time.Duration(0), 0.0
+	for _, at := range w.grants[team] {
+		level = min(g.Burst, level+g.RatePerSecond*(at-last).Seconds()) - 1
+		last = at
+		worst = max(worst, -level)
+	}
+	return worst
+}
+
+func mapKeys[K comparable, V any](m map[K]V) func(func(K) bool) {
+	return func(yield func(K) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
