Test each mechanism of programs by taking it out

Cause: several mechanisms of the core could be taken out unseen: the simulated budgets were never used up.

A home that has just taken a family up reserves only what it needs at once, so that a change of homes costs no second chunk. The flag that held back resent openings is gone, as their first chunk counts as spent anyway.

--- a/prog/corebegin.go
+++ b/prog/corebegin.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		want := f.ledger.want(&e.request)
-		if !f.ledger.Committed().Add(want).Within(f.limit()) {
+		if !f.ledger.Committed().Add(want).Within(f.ledger.Mark) {
 			f.need = want
 			return // the next commit raises the mark
 		}
--- a/prog/corecommit.go
+++ b/prog/corecommit.go
@@ -18,10 +18,7 @@
 	if !f.unsaved() && f.need == (Usage{}) {
 		return
 	}
-	mark := f.ledger.NextMark(f.need, c.options.ChunkParts)
-	if f.trimming || f.leaving {
-		mark = f.ledger.Committed().Max(Usage{})
-	}
+	mark := c.nextMark(f)
 	f.need = Usage{}
 	fl := &flight{requestID: c.requestID(), mark: mark, revision: f.revision}
 	fl.turns = f.pending()
@@ -32,6 +29,20 @@
 	c.actions = append(c.actions, Action{Commit: c.transaction(f, fl, now)})
 }
 
+// nextMark returns the mark that a commit asks for. A home that has just taken
+// the family up reserves only what it needs at once, so that a change of homes
+// costs no second chunk.
+func (c *Core) nextMark(f *family) Usage {
+	switch {
+	case f.trimming || f.leaving:
+		return f.ledger.Committed()
+	case f.taken:
+		return f.ledger.NextMark(f.need, Usage{})
+	default:
+		return f.ledger.NextMark(f.need, f.ledger.Chunk(c.options.ChunkParts))
+	}
+}
+
 func (c *Core) transaction(f *family, fl *flight, now time.Time) *Commit {
 	key := FamilyKey(f.root)
 	commit := &Commit{Root: f.root}
@@ -90,8 +101,8 @@
 // landed notes that a flight has taken effect.
 func (c *Core) landed(f *family, fl *flight, version int64) {
 	f.version = version
+	f.taken = false
 	f.ledger.Mark = fl.mark
-	f.needsMark = false
 	f.doubtful = nil
 	f.unsure = false
 	f.saved = fl.revision
--- a/prog/coreload.go
+++ b/prog/coreload.go
@@ -80,7 +80,7 @@
 	f.agents = fresh.agents
 	f.ended = fresh.ended
 	f.version = fresh.version
-	f.needsMark = false
+	f.taken = true
 	f.doubtful = nil
 	f.unsure = false
 	f.saved = f.revision
--- a/prog/coreopen.go
+++ b/prog/coreopen.go
@@ -13,11 +13,11 @@
 }
 
 // found sets a new family up. Its first chunk may be spent before the row is
-// committed, unless another home may have done so.
+// committed. If another home may have done so, that chunk counts as spent, and
+// this home spends nothing before it has a mark in the table.
 func (c *Core) found(f *family, r *OpenRequest, now time.Time) {
 	f.team = r.Team
 	f.phase = phaseReady
-	f.needsMark = r.Resent
 	f.ledger = Ledger{
 		Budget:   c.options.fill(r.Budget),
 		Since:    now,
--- a/prog/family.go
+++ b/prog/family.go
@@ -28,6 +28,8 @@
 		ended  bool
 		// idle is set once the cache was released after a pause.
 		idle bool
+		// taken is set from the loading of the family to its first commit.
+		taken bool
 		// leaving is set once the shard was given up.
 		leaving bool
 		// trimming has the next commit give unused reservations back.
@@ -35,10 +37,7 @@
 		// version is the row's version as last known; zero if it is not in
 		// the table.
 		version int64
-		// needsMark is set until the opening mark is in the table, for a
-		// program that another home may have opened, too.
-		needsMark bool
-		flight    *flight
+		flight  *flight
 		// doubtful are the latest flights that may yet take effect.
 		doubtful []*flight
 		// unsure is set while the row must be read before the next commit.
@@ -197,14 +196,6 @@
 	return a.turns[i:]
 }
 
-// limit is what the family may spend up to.
-func (f *family) limit() Usage {
-	if f.needsMark {
-		return Usage{}
-	}
-	return f.ledger.Mark
-}
-
 func (f *family) busy() bool {
 	for _, a := range f.agents {
 		if a.running != nil || len(a.queue) > 0 {
--- a/prog/history_test.go
+++ b/prog/history_test.go
@@ -58,15 +58,20 @@
 // wake.
 func TestHistoryOfTwoAndThreeHomes(t *testing.T) {
 	total := make(map[string]int)
+	most := Usage{}
 	for seed := range uint64(historySeeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s := newSimulator(t, seed, 2+int(seed%2))
-			s.faulty = true
+			s := newSimulator(t, seed, 2+int(seed/2%2))
+			s.faulty, s.tight = true, seed%2 == 0
+			calls := 6
+			if s.tight {
+				calls = 20
+			}
 			for i := range 2 {
 				root := fmt.Sprintf("p-%d", i)
-				s.addClient(simClient{program: root, key: "", calls: 12})
-				s.addClient(simClient{program: root, key: "second", calls: 6, shares: true})
-				s.addClient(simClient{program: root, parent: root, key: "agent", calls: 6})
+				s.addClient(simClient{program: root, key: "", calls: 2 * calls})
+				s.addClient(simClient{program: root, key: "second", calls: calls, shares: true})
+				s.addClient(simClient{program: root, parent: root, key: "agent", calls: calls})
 			}
 			s.run(6000)
 			s.heal()
@@ -75,9 +80,14 @@
 				total[note] += count
 			}
 			total["kept"] += len(s.kept)
+			for _, used := range s.runs {
+				if s.tight {
+					most = most.Max(used)
+				}
+			}
 		})
 	}
-	t.Logf("%d seeds: %v", historySeeds, total)
+	t.Logf("%d seeds: %v, most used of a tight budget %+v", historySeeds, total, most)
 	for _, note := range []string{"run", "kept", "conflict", "replay", "superseded", string(ReasonBudgetTokens)} {
 		assert.Check(t, total[note] > 0, "no %s happened", note)
 	}
@@ -101,7 +111,7 @@
 }
 
 func (s *simulator) checkBudgets(families map[string]*family) {
-	budget := simBudget()
+	budget := s.budget()
 	for root, f := range families {
 		runs := s.runs[root]
 		total := Usage{Calls: budget.Calls, Tokens: budget.Tokens}
--- a/prog/ledger.go
+++ b/prog/ledger.go
@@ -86,9 +86,10 @@
 }
 
 // NextMark returns the mark to ask the table for, given what waiting calls
-// need at once. It never falls below the present mark.
-func (l *Ledger) NextMark(need Usage, parts int64) Usage {
-	want := l.Committed().Add(need).Add(l.Chunk(parts))
+// need at once and what to reserve ahead. It never falls below the present
+// mark.
+func (l *Ledger) NextMark(need, ahead Usage) Usage {
+	want := l.Committed().Add(need).Add(ahead)
 	return want.Min(l.Total()).Max(l.Mark)
 }
 
--- a/prog/sim_test.go
+++ b/prog/sim_test.go
@@ -30,7 +30,9 @@
 		// faulty lets messages be lost or doubled and commits fail.
 		faulty bool
 		// down lets no request through to the store.
-		down  bool
+		down bool
+		// tight has programs fail and ask for more than their small budget.
+		tight bool
 		runs  map[string]Usage
 		kept  []simTurn
 		notes map[string]int
@@ -307,4 +309,9 @@
 	return families
 }
 
-func simBudget() conf.Budget { return conf.Budget{Calls: 40, Tokens: 6000, Seconds: 3600} }
+func (s *simulator) budget() conf.Budget {
+	if s.tight {
+		return conf.Budget{Calls: 20, Tokens: 2500, Seconds: 3600}
+	}
+	return conf.Budget{Calls: 40, Tokens: 6000, Seconds: 3600}
+}
--- a/prog/simclient_test.go
+++ b/prog/simclient_test.go
@@ -102,7 +102,7 @@
 }
 
 func (c *simClient) open() {
-	r := OpenRequest{Team: "team", Key: c.key, Budget: simBudget(), Resent: c.opens > 0}
+	r := OpenRequest{Team: "team", Key: c.key, Budget: c.sim.budget(), Resent: c.opens > 0}
 	r.Program, r.Parent = c.program, c.parent
 	if c.parent != "" {
 		r.Program = ""
@@ -182,6 +182,9 @@
 func (c *simClient) runCall(r BeginRequest, start *Start) {
 	s := c.sim
 	used := 1 + s.random.Int64N(start.ReservedTokens)
+	if s.tight {
+		used = start.ReservedTokens
+	}
 	for _, m := range start.History {
 		assert.Assert(s.t, bytes.Contains(m.Body, []byte(c.program+"-")), "mixed history")
 	}
@@ -196,7 +199,7 @@
 	case p < 5 && s.faulty:
 		c.nextCall() // the relaying instance dies, nothing is reported
 		return
-	case p < 12:
+	case p < 12, p < 60 && s.tight:
 		end.Outcome = OutcomeFailed
 	case p < 16:
 		end.Outcome = OutcomeUnknown
