Prove withdrawals against cuts, restarts and late messages

Cause: the keys' rules of freshness were not tested, and one was wrong.

It found that an instance counted as settled after a restart although all it had heard was what a peer had read from the table service before that restart, so that two halves could each believe they were a majority; a settled instance has now heard the table service's state from after its start, or one peer more.

--- a/keys/freshness.go
+++ b/keys/freshness.go
@@ -27,6 +27,8 @@
 		// settled says that enough was heard since the start, which takes one peer
 		// more: what this instance acknowledged before it started is forgotten.
 		settled bool
+		// started is the first time of sending; it is not before the start.
+		started time.Time
 		store   time.Time
 		peers   map[string]time.Time
 		// limit is when the keys stop being fresh; nil means that they are not.
@@ -60,12 +62,27 @@
 	f.publish()
 }
 
-// hearStore notes that the table service was heard at the time at.
-func (f *freshness) hearStore(at time.Time) {
+// hearStore notes that the table service answered a request that was sent at
+// the time sent.
+func (f *freshness) hearStore(sent time.Time) {
+	f.begin(sent)
+	f.hearStoreAt(sent)
+	f.publish()
+}
+
+// begin notes the first time of sending.
+func (f *freshness) begin(sent time.Time) {
+	if f.started.IsZero() {
+		f.started = sent
+	}
+}
+
+// hearStoreAt notes that everything is known that the table service held at
+// the time at.
+func (f *freshness) hearStoreAt(at time.Time) {
 	if at.After(f.store) {
 		f.store = at
 	}
-	f.publish()
 }
 
 // hearPeer notes that a peer answered a request that was sent at the time sent,
@@ -74,11 +91,12 @@
 	if !s.Settled {
 		return
 	}
+	f.begin(sent)
 	if sent.After(f.peers[s.Peer]) {
 		f.peers[s.Peer] = sent
 	}
 	if s.StoreHeard {
-		f.hearStore(sent.Add(-s.StoreAge))
+		f.hearStoreAt(sent.Add(-s.StoreAge))
 	}
 	f.publish()
 }
@@ -93,19 +111,31 @@
 
 // publish works out the limit anew.
 func (f *freshness) publish() {
+	if !f.loaded {
+		return
+	}
+	quorum := f.quorumHeard()
+	f.settle(quorum)
 	heard := f.store
-	if quorum := f.quorumHeard(); quorum.After(heard) {
+	if quorum.After(heard) {
 		heard = quorum
 	}
-	if !f.loaded || heard.IsZero() {
+	if heard.IsZero() {
 		f.limit.Store(nil)
 		return
 	}
-	f.settled = true
 	limit := heard.Add(f.options.Timeout)
 	f.limit.Store(&limit)
 }
 
+// settle notes that enough was heard since the start. What the table service
+// held before the start doesn't count, however fresh it is: this instance may
+// have acknowledged a later change before it restarted.
+func (f *freshness) settle(quorum time.Time) {
+	sinceStart := !f.store.IsZero() && !f.store.Before(f.started)
+	f.settled = f.settled || sinceStart || !quorum.IsZero()
+}
+
 // quorumHeard returns since when enough peers have been heard: the time of the
 // last one that is needed, newest first.
 func (f *freshness) quorumHeard() time.Time {
--- /dev/null
+++ b/keys/freshness_test.go
@@ -0,0 +1,135 @@
+package keys
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+// TestFreshAndSettled starts an instance of five anew and tells what it heard.
+func TestFreshAndSettled(t *testing.T) {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	settled := func(name string) PeerState { return PeerState{Peer: name, Loaded: true, Settled: true} }
+	withStore := func(age time.Duration) PeerState {
+		s := settled("a")
+		s.StoreHeard, s.StoreAge = true, age
+		return s
+	}
+	unsettled := settled("c")
+	unsettled.Settled = false
+	newer := settled("c")
+	newer.Revision = 1
+	tests := []struct {
+		name           string
+		heard          []PeerState
+		storeHeard     bool
+		after          time.Duration
+		fresh, settled bool
+	}{
+		{"nobody", nil, false, 0, false, false},
+		{"the table service", nil, true, testTimeout - 1, true, true},
+		{"the table service, too long ago", nil, true, testTimeout, false, true},
+		{"two peers, as many as a running one needs", []PeerState{settled("a"), settled("b")}, false, 0, false, false},
+		{"three peers", []PeerState{settled("a"), settled("b"), settled("c")}, false, testTimeout - 1, true, true},
+		{"three peers, too long ago", []PeerState{settled("a"), settled("b"), settled("c")}, false, testTimeout, false, true},
+		{"one peer three times", []PeerState{settled("a"), settled("a"), settled("a")}, false, 0, false, false},
+		{"third peer is not settled", []PeerState{settled("a"), settled("b"), unsettled}, false, 0, false, false},
+		{"third peer knows newer", []PeerState{settled("a"), settled("b"), newer}, false, 0, false, false},
+		{"the table service through a peer, before the start", []PeerState{withStore(time.Second)}, false, 0, true, false},
+		{"the table service through a peer, just now", []PeerState{withStore(0)}, false, 0, true, true},
+		{"the table service through a peer, stale by now", []PeerState{withStore(time.Second)}, false, testTimeout - time.Second, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			k := NewKeys(CallerKind, Freshness{Timeout: testTimeout, Peers: QuorumPeers(5)})
+			k.EndLoad(0)
+			for _, s := range tt.heard {
+				k.LearnPeer(s, start)
+			}
+			if tt.storeHeard {
+				_, err := k.LearnHead(store.Row{}, start)
+				assert.NilError(t, err)
+			}
+			assert.Equal(t, k.Fresh(start.Add(tt.after)), tt.fresh)
+			assert.Equal(t, k.State("me", start).Settled, tt.settled)
+		})
+	}
+}
+
+func TestNotFreshBeforeTheWholeSetWasRead(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := newTestKeys()
+	learned, err := k.LearnHead(store.Row{}, now)
+	assert.NilError(t, err)
+	assert.Assert(t, learned.Reload)
+	assert.Assert(t, !k.Fresh(now))
+	k.EndLoad(0)
+	_, err = k.LearnHead(store.Row{}, now)
+	assert.NilError(t, err)
+	assert.Assert(t, k.Fresh(now))
+}
+
+func TestPeersThatLeftNoLongerCount(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := newTestKeys()
+	k.EndLoad(0)
+	for _, name := range []string{"a", "b"} {
+		k.LearnPeer(PeerState{Peer: name, Loaded: true, Settled: true}, now)
+	}
+	assert.Assert(t, k.Fresh(now))
+	k.Want(2)
+	assert.Assert(t, k.Fresh(now))
+	k.Forget("b")
+	assert.Assert(t, !k.Fresh(now))
+}
+
+func TestAcksNeedAMajority(t *testing.T) {
+	a := NewAcks(7, 4)
+	a.Hear("a", 7)
+	a.Hear("a", 8)
+	a.Hear("b", 9)
+	a.Hear("c", 6)
+	assert.Assert(t, !a.Done())
+	a.Hear("c", 7)
+	assert.Assert(t, a.Done())
+}
+
+func TestSinceTellsWhenChangesAreNoLongerKept(t *testing.T) {
+	k := newTestKeys()
+	for n := range int64(maxRecent + 2) {
+		_, h := testKey(CallerKind, uint64(n))
+		k.Push(Change{Revision: n + 1, Hash: h, Team: "t"})
+	}
+	changes, whole := k.Since(2)
+	assert.Assert(t, whole)
+	assert.Equal(t, len(changes), maxRecent)
+	assert.Equal(t, changes[0].Revision, int64(3))
+	_, whole = k.Since(1)
+	assert.Assert(t, !whole)
+	changes, whole = k.Since(maxRecent + 9)
+	assert.Assert(t, whole)
+	assert.Equal(t, len(changes), 0)
+}
+
+func TestOlderStateChangesNothing(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	key, h := testKey(CallerKind, 1)
+	table := newFakeTable()
+	p, err := Issue(CallerKind, store.Row{}, key, "atlas", "", "r")
+	assert.NilError(t, err)
+	assert.NilError(t, table.apply(p.Txn))
+	k := newTestKeys()
+	k.EndLoad(2)
+	k.Push(Change{Revision: 2, Hash: h, Withdrawn: true})
+	learned, err := k.LearnHead(table.rows["keys/head"], now)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, learned, Learned{})
+	k.EndLoad(1)
+	assert.Equal(t, k.Revision(), int64(2))
+	assert.Assert(t, !k.Fresh(now), "an old read is no hearing")
+	_, err = k.Check(key)
+	assert.ErrorIs(t, err, ErrWithdrawn)
+}
--- a/keys/proposal.go
+++ b/keys/proposal.go
@@ -27,7 +27,7 @@
 	Proposal struct {
 		// Change is what peers are pushed once the proposal is accepted.
 		Change Change
-		// Txn writes the key's row and the head row if both are as read.
+		// Txn writes the key's row and the head row if the head row is as read.
 		Txn store.Txn
 	}
 )
@@ -45,8 +45,7 @@
 	}
 	c := Change{Revision: h.Revision + 1, Hash: hash, Team: team}
 	r := Record{Team: team, Label: label, IssuedAt: c.Revision}
-	absent := store.Row{Key: kind.RowKey(hash)}
-	return propose(kind, head, h, absent, c, r, requestID)
+	return propose(kind, head, h, c, r, requestID)
 }
 
 // Withdraw proposes to withdraw a key. The rows are as just read, the head row
@@ -71,12 +70,11 @@
 	}
 	c := Change{Revision: h.Revision + 1, Hash: hash, Withdrawn: true}
 	r.Withdrawn, r.WithdrawnAt = true, c.Revision
-	row.Key = kind.RowKey(hash)
-	return propose(kind, head, h, row, c, r, requestID)
+	return propose(kind, head, h, c, r, requestID)
 }
 
 // propose makes the transaction of a change.
-func propose(kind Kind, head store.Row, h Head, row store.Row, c Change, r Record, requestID string) (Proposal, error) {
+func propose(kind Kind, head store.Row, h Head, c Change, r Record, requestID string) (Proposal, error) {
 	record, err := json.Marshal(r)
 	if err != nil {
 		return Proposal{}, errors.Trace(err)
@@ -87,12 +85,10 @@
 	}
 	return Proposal{Change: c, Txn: store.Txn{
 		RequestID: requestID,
-		Conditions: []store.Condition{
-			{Key: kind.HeadKey(), Version: head.Version},
-			{Key: row.Key, Version: row.Version},
-		},
+		// Every change writes the head row, so that its version guards all rows.
+		Conditions: []store.Condition{{Key: kind.HeadKey(), Version: head.Version}},
 		Writes: []store.Write{
-			{Key: row.Key, Value: record},
+			{Key: kind.RowKey(c.Hash), Value: record},
 			{Key: kind.HeadKey(), Value: next},
 		},
 	}}, nil
--- /dev/null
+++ b/keys/watch_test.go
@@ -0,0 +1,64 @@
+package keys
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestWatchCutsOnlyTheKeysStreams(t *testing.T) {
+	w := NewWatch()
+	_, a := testKey(CallerKind, 1)
+	_, b := testKey(CallerKind, 2)
+	var cutA, cutB, released int
+	for range 3 {
+		_, err := w.Register(a, func() { cutA++ })
+		assert.NilError(t, err)
+	}
+	_, err := w.Register(b, func() { cutB++ })
+	assert.NilError(t, err)
+	release, err := w.Register(a, func() { released++ })
+	assert.NilError(t, err)
+	release()
+	release()
+	assert.Equal(t, w.Cut([]Hash{a}), 3)
+	assert.Equal(t, w.Cut([]Hash{a}), 0)
+	assert.DeepEqual(t, []int{cutA, cutB, released, w.Len()}, []int{3, 0, 0, 1})
+	_, err = w.Register(a, func() { t.Error("a refused stream was cut") })
+	assert.ErrorIs(t, err, ErrWithdrawn)
+}
+
+func TestWatchCutAllLetsLaterStreamsIn(t *testing.T) {
+	w := NewWatch()
+	_, a := testKey(CallerKind, 1)
+	cut := 0
+	_, err := w.Register(a, func() { cut++ })
+	assert.NilError(t, err)
+	assert.Equal(t, w.CutAll(), 1)
+	assert.Equal(t, cut, 1)
+	_, err = w.Register(a, func() {})
+	assert.NilError(t, err)
+}
+
+// TestWatchRace registers streams while their key is withdrawn: each one is
+// either refused or cut, none is left running.
+func TestWatchRace(t *testing.T) {
+	const streams = 200
+	w := NewWatch()
+	_, a := testKey(CallerKind, 1)
+	var ended atomic.Int64
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			if _, err := w.Register(a, func() { ended.Add(1) }); err != nil {
+				ended.Add(1)
+			}
+		})
+	}
+	wg.Go(func() { w.Cut([]Hash{a}) })
+	wg.Wait()
+	assert.Equal(t, ended.Load(), int64(streams))
+	assert.Equal(t, w.Len(), 0)
+}
