Hide io.EOF in a truncated stream, and test the engine package

Cause: a cut stream returned an error that matched io.EOF too, by which callers know a whole answer: it could end silently short.

Change: a truncation hides io.EOF.

Conclusion: the stream is whole or an error.

--- /dev/null
+++ b/engine/main_test.go
@@ -0,0 +1,24 @@
+package engine_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	setDefault("rapid.checks", "300")
+	setDefault("rapid.steps", "60")
+	setDefault("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// setDefault sets a flag that the command line doesn't.
+func setDefault(name, value string) {
+	given := false
+	flag.Visit(func(f *flag.Flag) { given = given || f.Name == name })
+	if !given {
+		_ = flag.Set(name, value)
+	}
+}
--- /dev/null
+++ b/engine/orders_test.go
@@ -0,0 +1,174 @@
+package engine_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/buckthorntide/buckthorntide/engine"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+type (
+	// orderWorld is a table row and an engine that several holders order.
+	orderWorld struct {
+		t        *rapid.T
+		now      time.Time
+		row      store.Row
+		checks   bool
+		fence    int64
+		holders  []*orderHolder
+		accepted int64
+	}
+
+	orderHolder struct {
+		orders *engine.Orders
+		// version and err are of a commit whose answer hasn't come.
+		committing bool
+		version    int64
+		err        error
+		// order is on its way to the engine until it arrives or times out.
+		order *engine.Order
+		until time.Time
+	}
+)
+
+func (w *orderWorld) holder(t *rapid.T) *orderHolder {
+	return rapid.SampledFrom(w.holders).Draw(t, "holder")
+}
+
+func (w *orderWorld) read(t *rapid.T) {
+	h := w.holder(t)
+	assert.NilError(t, h.orders.ObserveRow(w.row, w.now))
+}
+
+func (w *orderWorld) begin(t *rapid.T) {
+	h := w.holder(t)
+	if h.committing || h.order != nil || h.orders.Stage() == engine.OrderSending {
+		t.Skip("busy")
+	}
+	txn, err := h.orders.Begin(engine.OrderLoadModel, "m", h.orders.RequestID(), w.now)
+	if err != nil {
+		t.Skip("lease held")
+	}
+	h.committing, h.err, h.version = true, nil, w.row.Version+1
+	if txn.Conditions[0].Version != w.row.Version {
+		h.err = store.ErrConflict
+		return
+	}
+	w.row = store.Row{Key: txn.Writes[0].Key, Value: txn.Writes[0].Value, Version: h.version}
+	if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+		h.err = store.ErrUnknown
+	}
+}
+
+func (w *orderWorld) committed(t *rapid.T) {
+	h := w.holder(t)
+	if !h.committing {
+		t.Skip("no commit")
+	}
+	h.committing = false
+	h.orders.Committed(h.version, h.err, w.now)
+}
+
+func (w *orderWorld) send(t *rapid.T) {
+	h := w.holder(t)
+	order, until, err := h.orders.Send(w.now)
+	if err != nil || h.order != nil {
+		t.Skip("may not send")
+	}
+	h.order, h.until = &order, until
+}
+
+// arrive brings an order to the engine, within the sender's time-out.
+func (w *orderWorld) arrive(t *rapid.T) {
+	h := w.holder(t)
+	if h.order == nil {
+		t.Skip("nothing sent")
+	}
+	order := *h.order
+	h.order = nil
+	if !w.now.Before(h.until) {
+		h.orders.Sent(engine.ErrBroken)
+		h.orders.Checked(false)
+		return
+	}
+	if w.checks && order.Fence < w.fence {
+		h.orders.Sent(engine.ErrOldFence)
+		return
+	}
+	if order.Fence < w.fence {
+		w.t.Fatalf("engine took fence %d after %d", order.Fence, w.fence)
+	}
+	w.fence = order.Fence
+	w.accepted++
+	h.orders.Sent(nil)
+	h.orders.Checked(true)
+}
+
+func (w *orderWorld) pass(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(1, 15_000).Draw(t, "milliseconds")) * time.Millisecond)
+}
+
+// TestNoOldOrderAfterANewOne races three holders, any of which may be paused
+// at any point, with lost commit answers. The engine never takes an order with
+// an older fencing number, whether it checks or not.
+func TestNoOldOrderAfterANewOne(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		rapid.Check(t, func(t *rapid.T) {
+			w := &orderWorld{t: t, now: start, checks: checks}
+			for _, name := range []string{"a", "b", "c"} {
+				w.holders = append(w.holders, &orderHolder{
+					orders: engine.NewOrders(engine.DefaultOrderLimits(), "e", name, checks),
+				})
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"read": w.read, "read2": w.read, "begin": w.begin, "begin2": w.begin, "committed": w.committed,
+				"committed2": w.committed, "send": w.send, "send2": w.send, "arrive": w.arrive, "arrive2": w.arrive,
+				"pass": w.pass,
+			})
+		})
+	}
+}
+
+func TestOrderRuns(t *testing.T) {
+	o := engine.NewOrders(engine.DefaultOrderLimits(), "e", "a", false)
+	_, err := o.Begin(engine.OrderLoadModel, "m", "r", start)
+	assert.ErrorIs(t, err, engine.ErrLeaseHeld)
+	assert.NilError(t, o.ObserveRow(store.Row{}, start))
+	for i := range int64(2) {
+		_, err = o.Begin(engine.OrderLoadModel, "m", o.RequestID(), start)
+		assert.NilError(t, err)
+		o.Committed(i+1, nil, start)
+		order, _, err := o.Send(start)
+		assert.NilError(t, err)
+		assert.Equal(t, order.Fence, i+1)
+		o.Sent(nil)
+		assert.Assert(t, o.Checked(true))
+	}
+	o.Begin(engine.OrderLoadModel, "m", o.RequestID(), start)
+	o.Committed(3, nil, start)
+	_, _, err = o.Send(start.Add(time.Minute))
+	assert.ErrorIs(t, err, engine.ErrOldFence, "a holder that was paused sends nothing")
+}
+
+func TestLoadsStayWithinTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.5, 20).Draw(t, "rate")
+		now := start
+		l := engine.NewLoadLimiter(rate, now)
+		taken := 0
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30_000).Draw(t, "milliseconds")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "takeover") == 0 {
+				l = engine.NewLoadLimiter(rate, now)
+			}
+			if ok, _ := l.Take(now); ok {
+				taken++
+			}
+		}
+		assert.Assert(t, float64(taken) <= rate*now.Sub(start).Minutes()+1e-6, "%d loads", taken)
+	})
+}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -193,11 +193,15 @@
 	}
 }
 
-// streamError says that an end before the end mark is a truncation.
+// streamError says that an end before the end mark is a truncation. It hides
+// io.EOF, by which callers know a whole answer.
 func streamError(err error) error {
 	if errors.Is(err, ErrChunkTooLong) {
 		return err
 	}
+	if errors.Is(err, io.EOF) {
+		err = errors.New("end of body")
+	}
 	return errors.WithType(err, ErrTruncated)
 }
 
--- a/route/poison_test.go
+++ b/route/poison_test.go
@@ -14,7 +14,10 @@
 	"github.com/buckthorntide/buckthorntide/route"
 )
 
-const poisonPrint = 666
+const (
+	poisonPrint      = 666
+	poisonBystanders = 400
+)
 
 // poisonRun is a small fleet whose upstreams crash whenever they run the
 // poisonous request.
@@ -137,8 +140,10 @@
 	for seed := range uint64(40) {
 		r := newPoisonRun(t, seed, 8)
 		for i := range 200 {
-			if i < 100 {
-				r.submit(fmt.Sprintf("good%d", i), uint64(1000+i))
+			for j := range 4 {
+				if id := 4*i + j; id < poisonBystanders {
+					r.submit(fmt.Sprintf("good%d", id), uint64(1000+id))
+				}
 			}
 			if i%10 == 5 {
 				r.submit(fmt.Sprintf("bad%d", i), poisonPrint)
@@ -152,7 +157,7 @@
 		assert.Equal(t, r.ended["bad5"].Reason, route.ErrPoison)
 		assert.Equal(t, r.ended["bad5"].RunState, route.RunStateUnknown)
 		assert.Equal(t, r.ended["bad195"].RunState, route.RunStateNotRun)
-		for i := range 100 {
+		for i := range poisonBystanders {
 			assert.Assert(t, r.done[fmt.Sprintf("good%d", i)], "seed %d: bystander %d: %+v", seed, i, r.ended[fmt.Sprintf("good%d", i)])
 		}
 		known := r.pool.Suspects(r.now)
@@ -164,13 +169,40 @@
 	}
 }
 
+// TestSuspectsRunApart crashes an upstream with many calls in flight: each of
+// them then runs on an upstream without another suspect.
+func TestSuspectsRunApart(t *testing.T) {
+	r := newPoisonRun(t, 1, 3)
+	for i := range 30 {
+		r.submit(fmt.Sprintf("good%d", i), uint64(1000+i))
+	}
+	before := r.ids()
+	suspects := make(map[string]bool)
+	for _, id := range before {
+		suspects[id] = r.running[id].upstream.name == "e000"
+	}
+	r.crash("e000")
+	for r.pool.State(r.now).Calls > 0 {
+		perUpstream := make(map[string]int)
+		for _, id := range r.ids() {
+			if c := r.running[id]; suspects[id] && c.attempt == 2 {
+				perUpstream[c.upstream.name]++
+				assert.Assert(t, perUpstream[c.upstream.name] == 1, "two suspects on %s", c.upstream.name)
+			}
+		}
+		r.step()
+	}
+	assert.Equal(t, len(r.pool.Suspects(r.now)), 0, "completing exonerates")
+}
+
 // TestCutIsNoCrash breaks one relay's connections to upstream after upstream:
 // the upstreams' load reports show that none has crashed.
 func TestCutIsNoCrash(t *testing.T) {
 	r := newPoisonRun(t, 1, 8)
 	for i := range 3 {
 		r.submit(fmt.Sprintf("good%d", i), 7)
-		id := r.ids()[0]
+		id := fmt.Sprintf("good%d", i)
+		assert.Assert(t, r.running[id] != nil, "good%d doesn't run", i)
 		r.finish(id, route.OutcomeCrashed)
 		for range 60 {
 			r.now = r.now.Add(100 * time.Millisecond)
@@ -196,6 +228,7 @@
 		r.crash(u)
 	}
 	r.load()
+	assert.Equal(t, r.pool.State(r.now).Held, 0, "an outage makes no suspects")
 	for range 100 {
 		r.step()
 	}
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -247,6 +247,49 @@
 	assert.Equal(t, p.State(now).Counters.ColdResets, int64(1))
 }
 
+func TestOldSuccessesDontWarmARestartedUpstream(t *testing.T) {
+	p := route.NewPool(route.DefaultLimits(), nil)
+	p.Configure(smallService(1, 4, 8), nil, epoch)
+	p.ObserveLoad("e000", engine.Load{Epoch: "1"}, epoch)
+	running := make([]*route.Decision, 0, 4)
+	for i := range 4 {
+		running = append(running, only(p.Submit(call(fmt.Sprintf("c%d", i), "t"), epoch), route.KindAssign))
+	}
+	p.ObserveLoad("e000", engine.Load{Epoch: "2"}, epoch.Add(time.Second))
+	for _, d := range running {
+		p.Done(done(d, route.OutcomeCompleted), epoch.Add(2*time.Second))
+	}
+	assert.Equal(t, p.State(epoch).Upstreams[0].Allowance, 4)
+}
+
+func TestLateMessagesOfAnEndedCall(t *testing.T) {
+	p := warmPool(route.DefaultLimits(), 1, 1)
+	d := only(p.Submit(call("one", "t"), epoch), route.KindAssign)
+	p.Done(done(d, route.OutcomeCompleted), epoch)
+	again := only(p.Submit(call("one", "t"), epoch), route.KindRefuse)
+	assert.Equal(t, again.Refuse.Reason, route.ErrFinished)
+	assert.Equal(t, again.Refuse.RunState, route.RunStateRan)
+	assert.Equal(t, len(p.Done(done(d, route.OutcomeFailed), epoch)), 0)
+	p.Cancel("two", epoch)
+	late := only(p.Submit(call("two", "t"), epoch), route.KindRefuse)
+	assert.Equal(t, late.Refuse.Reason, route.ErrFinished, "the cancel came before the call")
+}
+
+func TestWarmthNeedsTheSameEpoch(t *testing.T) {
+	for _, c := range []struct {
+		epoch     string
+		allowance int
+	}{{epoch: "1", allowance: 8}, {epoch: "2", allowance: 2}} {
+		p := route.NewPool(route.DefaultLimits(), nil)
+		p.Configure(smallService(1, 2, 8), nil, epoch)
+		p.SettleUntil([]string{"r"}, epoch.Add(time.Second))
+		warmth := route.Warmth{Upstream: "e000", Epoch: "1", Allowance: 8}
+		p.Adopt(route.RelayState{Relay: "r", Warmths: []route.Warmth{warmth}}, epoch)
+		p.ObserveLoad("e000", engine.Load{Epoch: c.epoch}, epoch)
+		assert.Equal(t, p.State(epoch).Upstreams[0].Allowance, c.allowance)
+	}
+}
+
 func TestDomainOutAndBack(t *testing.T) {
 	p := route.NewPool(route.DefaultLimits(), nil)
 	service := smallService(3, 2, 8)
--- a/route/schedule_test.go
+++ b/route/schedule_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/engine"
 	"github.com/buckthorntide/buckthorntide/route"
 )
@@ -70,7 +71,7 @@
 	for i := range w.warmths {
 		w.warmths[i] = make(map[string]route.Warmth)
 	}
-	for _, u := range modelService(4).Upstreams {
+	for _, u := range worldService().Upstreams {
 		w.upstreams = append(w.upstreams, &worldUpstream{
 			name: u.Name, domain: u.FailureDomain, slots: u.Slots, cold: u.ColdSlots, told: true,
 		})
@@ -79,9 +80,12 @@
 	return w
 }
 
+// worldService is small, so that a few successes end a slow start.
+func worldService() conf.Service { return smallService(4, 1, 4) }
+
 func (w *world) newPool() {
 	w.pool = route.NewPool(route.DefaultLimits(), engine.NewCacheIndex(100))
-	w.act(w.pool.Configure(modelService(4), []string{w.out}, w.now))
+	w.act(w.pool.Configure(worldService(), []string{w.out}, w.now))
 }
 
 func (w *world) check(holds bool, format string, args ...any) {
@@ -279,7 +283,7 @@
 			}
 		}
 	}
-	w.act(w.pool.Configure(modelService(4), []string{w.out}, w.now))
+	w.act(w.pool.Configure(worldService(), []string{w.out}, w.now))
 }
 
 // takeover puts a new pool in place, which hears of nothing yet.
