--- a/conf/text.go
+++ b/conf/text.go
@@ -1,5 +1,7 @@
 package conf
 
+//go:generate go run ./gen
+
 const (
 	// KindModel is the kind of a service whose upstreams are model engines.
 	KindModel ServiceKind = "model"
