--- a/prog/claiming.go
+++ b/prog/claiming.go
@@ -8,6 +8,8 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
+const storePatience = 3 * time.Second // how long a claim tries at a failing store
+
 type (
 	// ClaimRequest asks for leave to dispatch a call that may not be repeated.
 	ClaimRequest struct {
@@ -53,9 +55,10 @@
 	// strength of it. The claim is then loose, and is settled as notRun as
 	// soon as the store answers, so that a resend can claim the call.
 	//
-	// Such a refusal says notRun only for a generated key. With a caller's
-	// key an earlier sending may have run, which only the table can tell, so
-	// that the truthful answer is unknown.
+	// Such a refusal says notRun for a generated key, and for a caller's key
+	// if the row was read and is absent or says notRun. Else an earlier
+	// sending may have run, which only the table can tell, so that the
+	// truthful answer is unknown.
 	claiming struct {
 		request ClaimRequest
 		self    Dispatcher
@@ -63,8 +66,14 @@
 		live    func(Dispatcher) bool
 		// loose is set while a row of this claim may exist or appear.
 		loose bool
+		// failing is since when the table takes no commit.
+		failing time.Time
+		// giving is set once the claim only looks whether the call has run.
+		giving bool
 		// count numbers the transactions of this claim.
 		count int
+		// pauses counts the pauses between looks at the row.
+		pauses int
 	}
 
 	// claimStep is what a claim wants done next; exactly one field is set.
@@ -102,28 +111,34 @@
 }
 
 // committed takes the outcome of a commit.
-func (c *claiming) committed(version int64, err error) claimStep {
+func (c *claiming) committed(version int64, err error, now time.Time) claimStep {
 	switch {
 	case err == nil:
 		return c.run(version)
-	case errors.Is(err, store.ErrUnavailable):
-		return c.refuse(ReasonStore)
-	case !errors.Is(err, store.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
+		return claimStep{read: true}
+	case !errors.Is(err, store.ErrUnavailable):
 		c.loose = true
 	}
-	return claimStep{read: true}
+	if c.failing.IsZero() {
+		c.failing = now
+	}
+	c.giving = now.Sub(c.failing) >= storePatience
+	return claimStep{read: c.giving, wait: !c.giving}
 }
 
 // read takes the row as it was read.
 func (c *claiming) read(row store.Row, err error, now time.Time) claimStep {
-	late := !now.Before(c.request.Deadline)
+	late := c.giving || !now.Before(c.request.Deadline)
 	switch {
 	case errors.Is(err, store.ErrNotFound) && late:
-		return c.refuse(ReasonDeadline)
+		return claimStep{reply: &ClaimReply{Refusal: refuse(c.reason())}}
 	case errors.Is(err, store.ErrNotFound):
 		return c.put(0)
+	case err != nil && late && c.request.Generated:
+		return claimStep{reply: &ClaimReply{Refusal: refuse(ReasonStore)}}
 	case err != nil && late:
-		return c.refuse(ReasonStore)
+		return c.unknown(ReasonStore)
 	case err != nil:
 		return claimStep{wait: true}
 	}
@@ -156,7 +171,7 @@
 		return claimStep{reply: replayOf(intent)}
 	case IntentNotRun:
 		if late {
-			return claimStep{reply: &ClaimReply{Refusal: refuse(ReasonDeadline)}}
+			return claimStep{reply: &ClaimReply{Refusal: refuse(c.reason())}}
 		}
 		return c.put(version)
 	case IntentPlanned:
@@ -173,12 +188,12 @@
 	return claimStep{reply: &ClaimReply{Run: claim}}
 }
 
-// refuse gives up without knowing the row.
-func (c *claiming) refuse(reason Reason) claimStep {
-	if !c.request.Generated {
-		return c.unknown(reason)
+// reason is why a claim is given up that has found the call not run.
+func (c *claiming) reason() Reason {
+	if c.giving {
+		return ReasonStore
 	}
-	return claimStep{reply: &ClaimReply{Refusal: refuse(reason)}}
+	return ReasonDeadline
 }
 
 func (c *claiming) unknown(reason Reason) claimStep {
--- a/prog/intents.go
+++ b/prog/intents.go
@@ -12,7 +12,12 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
-const intentPoll = 100 * time.Millisecond
+const (
+	intentPoll    = 100 * time.Millisecond // first pause between two looks at a row
+	maxIntentPoll = time.Second
+
+	maxIntentDoublings = 4
+)
 
 type (
 	// Intents runs calls that may not be repeated at most once. It is safe
@@ -134,22 +139,30 @@
 func (i *Intents) claimStep(ctx context.Context, c *claiming, step claimStep) claimStep {
 	switch {
 	case step.commit != nil:
-		return c.committed(i.committer.Commit(ctx, *step.commit))
+		version, err := i.committer.Commit(ctx, *step.commit)
+		return c.committed(version, err, i.now(ctx, c))
 	case step.wait:
-		i.pause(ctx)
+		i.pause(ctx, c)
 	}
 	row, err := i.table.Get(ctx, c.key())
-	now := i.common.Clock.Now()
+	return c.read(row, err, i.now(ctx, c))
+}
+
+// now returns the time, and the deadline once the asker has left.
+func (i *Intents) now(ctx context.Context, c *claiming) time.Time {
 	if ctx.Err() != nil {
-		now = c.request.Deadline
+		return c.request.Deadline
 	}
-	return c.read(row, err, now)
+	return i.common.Clock.Now()
 }
 
-func (i *Intents) pause(ctx context.Context) {
+// pause waits before the next look at a row, longer each time.
+func (i *Intents) pause(ctx context.Context, c *claiming) {
+	pause := min(maxIntentPoll, intentPoll<<min(c.pauses, maxIntentDoublings))
+	c.pauses++
 	select {
 	case <-ctx.Done():
-	case <-time.After(intentPoll):
+	case <-time.After(pause):
 	}
 }
 
--- /dev/null
+++ b/prog/intentsdriver_test.go
@@ -0,0 +1,178 @@
+package prog
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+func newTestIntents(fake *store.Fake, instance string) *Intents {
+	return NewIntents(IntentsOptions{
+		Common:    common.NewCommon(hclog.NewNullLogger(), conf.DefaultSettings()),
+		Table:     fake,
+		Objects:   fake,
+		Committer: fake,
+		Self:      Dispatcher{Instance: instance, Epoch: "1"},
+		Live:      func(d Dispatcher) bool { return d.Instance != "dead" },
+	})
+}
+
+func depositOf(key string) ClaimRequest {
+	return ClaimRequest{
+		Team: "team", Service: "deposits", Key: key, Digest: "digest",
+		Deadline: time.Now().Add(time.Minute),
+	}
+}
+
+func TestResendOfACall(t *testing.T) {
+	large := CallAnswer{Status: 201, Body: make([]byte, maxInlineBytes+1)}
+	small := CallAnswer{Status: 200, ContentType: "text/plain", Body: []byte("paid")}
+	ctx := context.Background()
+	cases := []struct {
+		name   string
+		first  func(i *Intents, c *Claim)
+		change func(*ClaimRequest)
+		check  func(t *testing.T, r *ClaimReply)
+	}{
+		{"after its answer", func(i *Intents, c *Claim) { i.Settle(ctx, c, small) }, nil, func(t *testing.T, r *ClaimReply) {
+			assert.DeepEqual(t, *r.Replay, small)
+		}},
+		{"after a large answer", func(i *Intents, c *Claim) { i.Settle(ctx, c, large) }, nil, func(t *testing.T, r *ClaimReply) {
+			assert.DeepEqual(t, *r.Replay, large)
+		}},
+		{"after it was not dispatched", func(i *Intents, c *Claim) { i.SettleNotRun(ctx, c) }, nil, func(t *testing.T, r *ClaimReply) {
+			assert.Assert(t, r.Run != nil)
+		}},
+		{"after its answer was lost", func(i *Intents, c *Claim) { i.SettleUnknown(ctx, c) }, nil, func(t *testing.T, r *ClaimReply) {
+			assert.Equal(t, r.Refusal.RunState, Unknown)
+		}},
+		{"while it runs", func(*Intents, *Claim) {}, func(r *ClaimRequest) { r.Deadline = time.Now() }, func(t *testing.T, r *ClaimReply) {
+			assert.Equal(t, r.Refusal.RunState, Unknown)
+		}},
+		{"with another body", func(*Intents, *Claim) {}, func(r *ClaimRequest) { r.Digest = "other" }, func(t *testing.T, r *ClaimReply) {
+			assert.Equal(t, r.Refusal.Reason, ReasonConflict)
+		}},
+		{"of another team", func(*Intents, *Claim) {}, func(r *ClaimRequest) { r.Team = "other" }, func(t *testing.T, r *ClaimReply) {
+			assert.Assert(t, r.Run != nil)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fake := store.NewFake()
+			i := newTestIntents(fake, "a")
+			first := i.Claim(ctx, depositOf("key/1"))
+			c.first(i, first.Run)
+			r := depositOf("key/1")
+			if c.change != nil {
+				c.change(&r)
+			}
+			c.check(t, newTestIntents(fake, "b").Claim(ctx, r))
+		})
+	}
+}
+
+func TestCallOfADeadDispatcherIsUnknown(t *testing.T) {
+	fake := store.NewFake()
+	newTestIntents(fake, "dead").Claim(context.Background(), depositOf("key"))
+	r := newTestIntents(fake, "b").Claim(context.Background(), depositOf("key"))
+	assert.Equal(t, r.Refusal.RunState, Unknown)
+}
+
+func TestClaimWhileTheStoreIsAway(t *testing.T) {
+	cases := []struct {
+		name      string
+		generated bool
+		want      RunState
+	}{
+		{"a generated key", true, NotRun},
+		{"a caller's key may have run before", false, Unknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			fake := store.NewFake()
+			fake.SetFault(store.FaultUnavailable)
+			r := depositOf("key")
+			r.Generated, r.Deadline = c.generated, time.Now()
+			reply := newTestIntents(fake, "a").Claim(context.Background(), r)
+			assert.Equal(t, reply.Refusal.RunState, c.want)
+		})
+	}
+}
+
+// TestLooseClaimIsSettled lets the answer to a plan be lost, and all that
+// could tell what became of it.
+func TestLooseClaimIsSettled(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	i := newTestIntents(fake, "a")
+	fake.Expect(
+		store.FakeCall{Operation: store.OpCommit, Fault: store.FaultLost},
+		store.FakeCall{Operation: store.OpGet, Fault: store.FaultUnavailable},
+	)
+	r := depositOf("key")
+	r.Deadline = time.Now()
+	assert.Equal(t, i.Claim(ctx, r).Refusal.RunState, Unknown)
+	assert.Equal(t, i.Pending(), 1)
+	i.Sweep(ctx)
+	assert.Equal(t, i.Pending(), 0)
+	assert.Assert(t, newTestIntents(fake, "b").Claim(ctx, depositOf("key")).Run != nil)
+	assert.NilError(t, fake.Verify())
+}
+
+func TestAnswerIsStoredOnceTheStoreIsBack(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	i := newTestIntents(fake, "a")
+	claim := i.Claim(ctx, depositOf("key")).Run
+	fake.SetFault(store.FaultUnavailable)
+	assert.Assert(t, !i.Settle(ctx, claim, CallAnswer{Status: 200}))
+	i.Sweep(ctx)
+	assert.Equal(t, i.Pending(), 1)
+	fake.SetFault(store.FaultNone)
+	i.Sweep(ctx)
+	assert.Equal(t, i.Pending(), 0)
+	assert.Equal(t, i.Claim(ctx, depositOf("key")).Replay.Status, 200)
+	assert.Equal(t, len(fake.Calls(store.OpCommit)), 4)
+}
+
+func TestLostAnswerToAPlanIsReadBack(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	fake.Expect(store.FakeCall{Operation: store.OpCommit, Fault: store.FaultLost})
+	i := newTestIntents(fake, "a")
+	claim := i.Claim(ctx, depositOf("key")).Run
+	assert.Assert(t, claim != nil)
+	assert.Assert(t, i.Settle(ctx, claim, CallAnswer{Status: 200}))
+}
+
+func TestSettledClaimIsNotRunAgain(t *testing.T) {
+	c := &claiming{request: depositOf("key"), claim: "claim"}
+	row := c.row()
+	row.State = IntentUnknown
+	step := c.read(store.Row{Version: 2, Value: mustEncode(&row)}, nil, time.Now())
+	assert.Equal(t, step.reply.Refusal.RunState, Unknown)
+}
+
+func TestChangedAnswerIsNotReplayed(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	i := newTestIntents(fake, "a")
+	claim := i.Claim(ctx, depositOf("key")).Run
+	i.Settle(ctx, claim, CallAnswer{Body: make([]byte, maxInlineBytes+1)})
+	for _, c := range fake.Calls(store.OpPutObject) {
+		assert.NilError(t, fake.PutObject(ctx, c.Key, []byte("{}")))
+	}
+	r := i.Claim(ctx, depositOf("key"))
+	assert.DeepEqual(t, *r.Refusal, Refusal{Reason: ReasonDamaged, RunState: Ran})
+}
+
+func TestIntentKeysDiffer(t *testing.T) {
+	assert.Assert(t, IntentKey("a", "b", "c/d") != IntentKey("a", "b/c", "d"))
+}
--- a/prog/lab_test.go
+++ b/prog/lab_test.go
@@ -20,6 +20,8 @@
 	storeLost
 )
 
+var labTime = time.Unix(1_700_000_000, 0)
+
 type (
 	storeMode int
 
@@ -44,7 +46,7 @@
 	o.ChunkParts = 2
 	return &lab{
 		t: t, core: NewCore(o), memory: memory, objects: make(map[string][]byte),
-		now: time.Unix(1_700_000_000, 0), replies: make(map[Ticket]Reply),
+		now: labTime, replies: make(map[Ticket]Reply),
 	}
 }
 
