Let whole ids of admin keys be withdrawn

Cause: a trial of the subcommands against three instances with stand-ins showed that a whole id resolved among callers' keys without a look, so that the withdrawal of an admin key ended in "unknown key".

Change: a whole id resolves only where it is known, as a part does. The status tables no longer call the asked instance another one, and bad input says what to do next.

TestResolve failed with the old code for "unknown whole".

--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -137,7 +137,9 @@
 		{"odd count", hash.String()[:9], nil},
 		{"too short", hash.String()[:7], ErrMalformed},
 		{"no digits", "zzzzzzzzzz", ErrMalformed},
+		{"too long", hash.String() + "0", ErrMalformed},
 		{"unknown", "00000000", ErrUnknownKey},
+		{"unknown whole", strings.Repeat("0", 64), ErrUnknownKey},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/keys/resolve.go
+++ b/keys/resolve.go
@@ -12,9 +12,6 @@
 // Resolve returns the key whose id starts with the digits, withdrawn ones
 // included, or ErrMalformed, ErrUnknownKey or ErrAmbiguous.
 func (k *Keys) Resolve(digits string) (Hash, error) {
-	if h, err := ParseHash(digits); err == nil {
-		return h, nil
-	}
 	digits = strings.ToLower(digits)
 	if len(digits) < minIDDigits {
 		return Hash{}, errors.Annotatef(ErrMalformed, "an id has at least %d digits", minIDDigits)
@@ -26,10 +23,13 @@
 	return (*k.shards[first].Load()).resolve(digits)
 }
 
-// firstByte reads the first two digits.
+// firstByte reads the first two digits, and makes sure that all are digits.
 func firstByte(digits string) (byte, error) {
-	padded := digits + strings.Repeat("0", len(Hash{})*2)
-	h, err := ParseHash(padded[:len(Hash{})*2])
+	whole := 2 * len(Hash{})
+	if len(digits) > whole {
+		return 0, ErrMalformed
+	}
+	h, err := ParseHash(digits + strings.Repeat("0", whole-len(digits)))
 	return h[0], err
 }
 
--- a/opcli/failure.go
+++ b/opcli/failure.go
@@ -75,6 +75,8 @@
 // nextOf returns what to do where an instance doesn't say.
 func nextOf(c admapi.Code) string {
 	switch c {
+	case admapi.CodeBadInput:
+		return "correct the arguments; buckthorntide without any lists them"
 	case admapi.CodeUnauthorised:
 		return "give an admin key that was not withdrawn, as " + EnvAdminKey + " or -key"
 	case admapi.CodeConflict:
--- a/opcli/instance.go
+++ b/opcli/instance.go
@@ -61,7 +61,7 @@
 }
 
 func (s *session) printStatus(a admapi.StatusResponse) {
-	s.table("INSTANCE\t"+a.Instance, []string{
+	s.table("STATUS OF\t"+a.Instance, []string{
 		"failure domain\t" + a.FailureDomain,
 		"ready\t" + readiness(a),
 		"draining\t" + yesNo(a.Draining),
@@ -78,7 +78,7 @@
 		instances = append(instances, fmt.Sprintf("%s\t%s\t%s", i.Name, i.FailureDomain, i.State))
 	}
 	s.line("")
-	s.table("OTHER INSTANCE\tFAILURE DOMAIN\tSTATE", instances)
+	s.table("INSTANCE\tFAILURE DOMAIN\tSTATE", instances)
 	upstreams := make([]string, 0, len(a.Upstreams))
 	for _, u := range a.Upstreams {
 		upstreams = append(upstreams, fmt.Sprintf("%s\t%s\t%s\t%s\t%d", u.Name, u.Service, u.FailureDomain, u.State, u.Running))
