--- a/cmd/bench/bucket.go
+++ b/cmd/bench/bucket.go
@@ -6,7 +6,8 @@
 )
 
 // bucket is an exact token bucket over all of a team's calls. It begins full.
-// Calls under way count as granted; one that was refused gives its token back.
+// Calls under way count as granted. One that was rightly refused gives its token
+// back; one that was wrongfully refused keeps it for its next attempt.
 type bucket struct {
 	ratePerSecond float64
 	burst         float64
@@ -26,7 +27,7 @@
 	return within
 }
 
-// giveBack returns the token of a refused call.
+// giveBack returns the token of a rightly refused call.
 func (b *bucket) giveBack(now time.Time) {
 	b.advance(now)
 	b.level = math.Min(b.burst, b.level+1)
--- a/cmd/bench/cluster.go
+++ b/cmd/bench/cluster.go
@@ -6,6 +6,9 @@
 type cluster interface {
 	// Start adds so many instances and waits until they are ready.
 	Start(ctx context.Context, count int) error
+	// Settle waits until the fleet that was just started has spread its work and
+	// every team's whole burst is there.
+	Settle(ctx context.Context) error
 	// Addresses returns where callers reach the instances that were started
 	// and neither stopped nor killed, in the order of their start.
 	Addresses() []string
--- a/cmd/bench/ledger.go
+++ b/cmd/bench/ledger.go
@@ -49,6 +49,16 @@
 	return l
 }
 
+// fillBuckets fills the buckets of all teams.
+func (l *ledger) fillBuckets(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.buckets {
+		b.advance(now)
+		b.level = b.burst
+	}
+}
+
 // take counts a call that is about to be sent against the team's grant.
 func (l *ledger) take(team int, now time.Time) bool {
 	l.mu.Lock()
--- a/cmd/bench/naivecluster.go
+++ b/cmd/bench/naivecluster.go
@@ -41,6 +41,9 @@
 	return nil
 }
 
+// Settle returns at once: buckets begin full.
+func (c *naiveCluster) Settle(context.Context) error { return nil }
+
 // Addresses returns where callers reach the instances.
 func (c *naiveCluster) Addresses() []string { return c.instances.addresses() }
 
--- a/cmd/bench/ourcluster.go
+++ b/cmd/bench/ourcluster.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/buckthorntide/buckthorntide/admapi"
 	"github.com/buckthorntide/buckthorntide/boot"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/fleet"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 )
@@ -27,14 +29,24 @@
 	drainNotice  = 4 * healthInterval
 	drainTimeout = 15 * time.Second
 
-	readyTimeout  = 20 * time.Second
-	readyInterval = 20 * time.Millisecond
-	adminTimeout  = 5 * time.Second
+	readyTimeout   = 20 * time.Second
+	readyInterval  = 20 * time.Millisecond
+	settleInterval = 200 * time.Millisecond
+	settleMargin   = time.Second
+	adminTimeout   = 5 * time.Second
 
 	errNotReady = errors.ConstError("instances did not get ready in time")
 	errAdmin    = errors.ConstError("the administration API refused")
 )
 
+// dumpedSeats is the part of an instance's dump that tells which shards' seats
+// are delegated to it.
+type dumpedSeats struct {
+	Authority []struct {
+		Seats int `json:"seats"`
+	} `json:"authority"`
+}
+
 // ourCluster is a fleet of the product's instances in this process.
 type ourCluster struct {
 	world    *world
@@ -127,6 +139,57 @@
 	return c.admin(ctx, http.MethodPut, admapi.PathText, body, nil)
 }
 
+// Settle waits until all seats of each shard have been delegated to the same
+// instances for as long as the buckets, which begin empty, take to fill.
+func (c *ourCluster) Settle(ctx context.Context) error {
+	var before []int
+	since := time.Now()
+	for time.Since(since) < burstSeconds*time.Second+settleMargin {
+		seats, err := c.delegatedSeats(ctx)
+		if err != nil {
+			return err
+		}
+		if sum(seats) != fleet.ShardCount*fleet.SeatCount || !slices.Equal(seats, before) {
+			since = time.Now()
+		}
+		before = seats
+		if !pause(ctx, settleInterval) {
+			return errors.Annotatef(errNotReady, "seats delegated to the instances: %v", seats)
+		}
+	}
+	return nil
+}
+
+// delegatedSeats returns how many seats each instance has been delegated, over
+// all shards.
+func (c *ourCluster) delegatedSeats(ctx context.Context) ([]int, error) {
+	var seats []int
+	for _, node := range c.nodes.all() {
+		raw, err := node.Dump(ctx)
+		if err != nil {
+			return nil, err
+		}
+		var dump dumpedSeats
+		if err := json.Unmarshal(raw, &dump); err != nil {
+			return nil, err
+		}
+		delegated := 0
+		for _, shard := range dump.Authority {
+			delegated += shard.Seats
+		}
+		seats = append(seats, delegated)
+	}
+	return seats, nil
+}
+
+func sum(list []int) int {
+	total := 0
+	for _, n := range list {
+		total += n
+	}
+	return total
+}
+
 // Addresses returns where callers reach the instances.
 func (c *ourCluster) Addresses() []string { return c.nodes.addresses() }
 
--- a/cmd/bench/world.go
+++ b/cmd/bench/world.go
@@ -19,7 +19,6 @@
 	budgetCalls   = 1000
 	budgetTokens  = 10000000
 	budgetSeconds = 600
-	freeTimeout   = 5 * time.Second
 	freeInterval  = 100 * time.Millisecond
 )
 
@@ -157,8 +156,8 @@
 
 // countHeld waits a bounded time until the engines have freed the caches of
 // the ended programs and counts those that are left.
-func (w *world) countHeld(ctx context.Context, programs map[string]bool) int {
-	deadline := time.Now().Add(freeTimeout)
+func (w *world) countHeld(ctx context.Context, programs map[string]bool, timeout time.Duration) int {
+	deadline := time.Now().Add(timeout)
 	for {
 		held := w.held(programs)
 		if held == 0 || time.Now().After(deadline) || !pause(ctx, freeInterval) {
