Answer a resend of an ended call as before, and weigh lost prefixes more

Cause: a call that was refused while its attempt's end was reported got another reason when its relay asked again; a lost prefix counted too little.

--- a/route/choice.go
+++ b/route/choice.go
@@ -11,7 +11,7 @@
 const (
 	// recomputeWeight is how much the time to compute a lost prefix again counts
 	// above a wait, since it also delays the engine's other calls.
-	recomputeWeight = 2.0
+	recomputeWeight = 4.0
 	// loadWeight is how much a full batch counts, in service times.
 	loadWeight = 0.25
 	maxCost    = time.Duration(math.MaxInt64)
--- a/route/finished.go
+++ b/route/finished.go
@@ -1,28 +1,38 @@
 package route
 
-// finished remembers a bounded number of ended calls, the newest ones.
-type finished struct {
-	states map[string]RunState
-	ring   []string
-	next   int
-}
+import "github.com/juju/errors"
+
+type (
+	// finished remembers a bounded number of ended calls, the newest ones.
+	finished struct {
+		ends map[string]ending
+		ring []string
+		next int
+	}
+
+	// ending is how a call ended.
+	ending struct {
+		reason errors.ConstError
+		state  RunState
+	}
+)
 
 func newFinished(size int) finished {
-	return finished{states: make(map[string]RunState), ring: make([]string, size)}
+	return finished{ends: make(map[string]ending), ring: make([]string, size)}
 }
 
-func (f *finished) add(id string, state RunState) {
-	if _, ok := f.states[id]; ok {
-		f.states[id] = state
+func (f *finished) add(id string, e ending) {
+	if _, ok := f.ends[id]; ok {
+		f.ends[id] = e
 		return
 	}
-	delete(f.states, f.ring[f.next])
+	delete(f.ends, f.ring[f.next])
 	f.ring[f.next] = id
 	f.next = (f.next + 1) % len(f.ring)
-	f.states[id] = state
+	f.ends[id] = e
 }
 
-func (f *finished) get(id string) (RunState, bool) {
-	state, ok := f.states[id]
-	return state, ok
+func (f *finished) get(id string) (ending, bool) {
+	e, ok := f.ends[id]
+	return e, ok
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -169,6 +169,9 @@
 // SetAuthority says whether this pool alone may admit calls. Without it cold
 // upstreams get nothing new and warm ones only Limits.SharedSlots of theirs.
 func (p *Pool) SetAuthority(exclusive bool, now time.Time) []Decision {
+	if p.exclusive == exclusive {
+		return nil
+	}
 	p.exclusive = exclusive
 	p.fillAll(now)
 	return p.take()
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -169,7 +169,11 @@
 				assert.Equal(t, again.Assign.Attempt, 2)
 				return
 			}
-			assert.Equal(t, only(decisions, route.KindRefuse).Refuse.RunState, c.state)
+			refused := only(decisions, route.KindRefuse).Refuse
+			assert.Equal(t, refused.RunState, c.state)
+			resent := only(p.Submit(one, epoch.Add(time.Second)), route.KindRefuse).Refuse
+			assert.Equal(t, resent.Reason, refused.Reason)
+			assert.Equal(t, resent.RunState, refused.RunState)
 		})
 	}
 }
--- a/route/submit.go
+++ b/route/submit.go
@@ -34,7 +34,7 @@
 	e := p.calls[id]
 	switch {
 	case e == nil:
-		p.finished.add(id, RunStateUnknown)
+		p.finished.add(id, ending{reason: ErrFinished, state: RunStateUnknown})
 	case e.state == stateRunning:
 		p.cancelRunning(e)
 	default:
@@ -60,8 +60,8 @@
 
 // refusal returns why the call can't be taken, or nil.
 func (p *Pool) refusal(c *Call, now time.Time) *Refuse {
-	if state, ok := p.finished.get(c.ID); ok {
-		return &Refuse{Reason: ErrFinished, RunState: state}
+	if end, ok := p.finished.get(c.ID); ok {
+		return &Refuse{Reason: end.reason, RunState: end.state}
 	}
 	if p.suspects.convicted(c.Fingerprint) {
 		return &Refuse{Reason: ErrPoison, RunState: c.runState()}
@@ -202,9 +202,15 @@
 
 // finish forgets a call that isn't queued or running any more.
 func (p *Pool) finish(e *entry, state RunState) {
+	p.end(e, ending{reason: ErrFinished, state: state})
+}
+
+// end forgets a call but for how it ended, if it was ever assigned: a resend
+// gets the same answer. A call that only waited may be sent again.
+func (p *Pool) end(e *entry, how ending) {
 	delete(p.calls, e.ID)
-	if state != RunStateNotRun {
-		p.finished.add(e.ID, state)
+	if e.attempt > 0 || how.state != RunStateNotRun {
+		p.finished.add(e.ID, how)
 	}
 	p.forgetTeam(e.team)
 }
@@ -214,7 +220,7 @@
 	p.counters.Refused++
 	r.Attempts = e.attempt
 	p.decideRefuse(e.ID, e.Relay, r)
-	p.finish(e, r.RunState)
+	p.end(e, ending{reason: r.Reason, state: r.RunState})
 }
 
 func (p *Pool) refuseFor(e *entry, reason errors.ConstError) {
