Wait for carried reports, and reload when another home has gone on

Cause: a new home that heard of two turns which the earlier home had not kept waited for the first only, and a home with an old copy of a family refused a later turn for ever, as nothing made it read the row again.

Change: Resume keeps later turns that relaying instances carry and gives them the program's turn one after another, until a while after their deadline. A report or an expected turn beyond the known ones has the family read again.

Conclusion: turns that were answered with kept=false keep their order over a change of homes.

--- a/prog/core.go
+++ b/prog/core.go
@@ -166,6 +166,7 @@
 	for _, root := range c.families.Keys(strings.Compare) {
 		f := c.families.Get(root)
 		for _, a := range f.agents {
+			a.coming = slices.DeleteFunc(a.coming, func(r Running) bool { return r.Begin.Relay == relay })
 			if a.running != nil && a.running.request.Relay == relay {
 				c.drop(f, a)
 			}
--- a/prog/core_test.go
+++ b/prog/core_test.go
@@ -211,6 +211,42 @@
 	assert.Equal(t, string(begun.History[5].Body), "answer c3")
 }
 
+// TestNextCallWaitsForCarriedReports lets a new home hear of two reports that
+// the earlier home did not keep, before it hears the reports themselves.
+func TestNextCallWaitsForCarriedReports(t *testing.T) {
+	memory := store.NewMemory()
+	a := newLab(t, "a", memory)
+	a.open("p-1", testBudget, false)
+	a.mode = storeAway
+	carried := []EndRequest{a.turn("p-1", "c1"), a.turn("p-1", "c2")}
+
+	b := newLab(t, "b", memory)
+	for _, e := range carried {
+		r := callOf("p-1", e.CallID)
+		r.Deadline = b.now.Add(-time.Minute)
+		b.do(b.core.Resume(Running{Begin: r, Turn: e.Turn, Previous: e.Previous}, b.now))
+	}
+	assert.Assert(t, b.begin(callOf("p-1", "c3")) == nil)
+	waiting := b.ticket
+	b.pass(time.Second)
+	assert.Assert(t, b.end(carried[0]).Kept)
+	assert.Assert(t, b.replies[waiting].Begin == nil, "started before the second report")
+	assert.Assert(t, b.end(carried[1]).Kept)
+	assert.Equal(t, b.replies[waiting].Begin.Start.Turn, 3)
+}
+
+func TestCarriedReportIsNotWaitedForWithoutEnd(t *testing.T) {
+	l := newLab(t, "a", store.NewMemory())
+	l.open("p-1", testBudget, false)
+	end := l.turn("p-1", "c1")
+	l.do(l.core.Resume(Running{Begin: callOf("p-1", "c2"), Turn: 2, Previous: "of a lost turn"}, l.now))
+	r := callOf("p-1", "c2")
+	l.do(l.core.Resume(Running{Begin: r, Turn: 2, Previous: newTurn(&end).digest}, l.now))
+	assert.Assert(t, l.begin(callOf("p-1", "c3")) == nil)
+	l.pass(l.core.options.CallTimeout + l.core.options.RunGrace)
+	assert.Equal(t, l.start(callOf("p-1", "c3")).Turn, 2)
+}
+
 func TestDeadRelayGivesItsTurnBack(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
--- a/prog/corebegin.go
+++ b/prog/corebegin.go
@@ -23,6 +23,10 @@
 		c.refuseBegin(t, ReasonQueueFull)
 		return
 	}
+	ahead := r.ExpectedTurn > a.next() && a.running == nil && len(a.queue) == 0
+	if ahead && c.refresh(f, parked{ticket: t, begin: r}, now) {
+		return
+	}
 	f.touched = now
 	f.idle = false
 	until := now.Add(c.options.WaitBound)
@@ -105,6 +109,7 @@
 	if _, held := c.held[ShardOf(f.root)]; held || f.phase != phaseReady || f.leaving {
 		return
 	}
+	c.expect(a, now)
 	for a.running == nil && len(a.queue) > 0 {
 		e := a.queue[0]
 		if e.ticket == 0 {
--- a/prog/coreend.go
+++ b/prog/coreend.go
@@ -21,6 +21,7 @@
 	switch {
 	case r.Turn < a.next():
 		c.endAgain(a, t, r, now)
+	case r.Turn > a.next() && c.refresh(f, parked{ticket: t, end: r}, now):
 	case r.Turn > a.next():
 		c.refuseEnd(t, ReasonTurn)
 	case r.Previous != a.head() && a.headKept():
@@ -129,24 +130,6 @@
 	}
 }
 
-// resume notes a call that runs for an earlier home, so that the next call
-// waits for it.
-func (c *Core) resume(f *family, r *Running, now time.Time) {
-	a := f.agent(r.Begin.Program)
-	if a == nil || f.team != r.Begin.Team || a.running != nil {
-		return
-	}
-	if r.Turn != a.next() || r.Previous != a.head() {
-		return
-	}
-	f.touched = now
-	a.running = &running{
-		request: r.Begin,
-		start:   &Start{Turn: r.Turn, Previous: r.Previous},
-		foreign: true,
-	}
-}
-
 // is reports whether a report is that of the running call.
 func (r *running) is(e *EndRequest) bool {
 	return r.start.Turn == e.Turn &&
--- a/prog/coreload.go
+++ b/prog/coreload.go
@@ -13,6 +13,21 @@
 	c.actions = append(c.actions, Action{Load: &Load{Root: f.root}})
 }
 
+// refresh reads the family again for a request that knows of a turn which this
+// home does not: another home may have gone on. The request waits for it. It
+// reports false if that was done just now, or cannot be done.
+func (c *Core) refresh(f *family, p parked, now time.Time) bool {
+	if f.flight != nil || f.unsure || now.Sub(f.refreshed) < c.options.RetryInterval {
+		return false
+	}
+	f.refreshed = now
+	f.unsure = true
+	p.until = now.Add(c.options.WaitBound)
+	f.parked = append(f.parked, p)
+	c.load(f)
+	return true
+}
+
 // Loaded takes what was read of a family, or the error.
 func (c *Core) Loaded(root string, result *LoadResult, err error, now time.Time) []Action {
 	f := c.families.Get(root)
@@ -166,6 +181,7 @@
 		a.running.foreign = true
 	}
 	a.queue = old.queue
+	a.coming = old.coming
 	a.engines = old.engines
 	if old.ended && !a.ended {
 		a.ended = true
--- a/prog/family.go
+++ b/prog/family.go
@@ -43,6 +43,9 @@
 		// unsure is set while the row must be read before the next commit.
 		unsure  bool
 		loading bool
+		// refreshed is when the row was last read for a request that knows of
+		// a later turn.
+		refreshed time.Time
 		// revision rises with each change of the row besides turns; saved is
 		// the revision that is in the table.
 		revision int
@@ -65,6 +68,8 @@
 		first   string
 		running *running
 		queue   []*entry
+		// coming are turns that relaying instances carry for an earlier home.
+		coming  []Running
 		engines []string
 	}
 
--- a/prog/keeper_test.go
+++ b/prog/keeper_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
@@ -27,6 +31,74 @@
 	return k
 }
 
+// TestKeepersUnderFaults lets callers go on at two keepers of one table while
+// answers of the store are lost and it is away for a time.
+func TestKeepersUnderFaults(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	keepers := []*Keeper{newTestKeeper(t, fake, "a"), newTestKeeper(t, fake, "b")}
+	ticks := group.NewGroup(ctx)
+	ticks.Go(func(ctx context.Context) {
+		faults := []store.Fault{store.FaultNone, store.FaultLost, store.FaultNone, store.FaultUnavailable, store.FaultUnknown}
+		for i := 0; ctx.Err() == nil; i++ {
+			fake.SetFault(faults[i/10%len(faults)])
+			keepers[0].Tick()
+			keepers[1].Tick()
+			time.Sleep(time.Millisecond)
+		}
+	})
+	callers := group.NewGroup(ctx)
+	for i := range 16 {
+		callers.Go(func(ctx context.Context) { converse(ctx, t, keepers, fmt.Sprint("p-", i), i) })
+	}
+	callers.Wait()
+	ticks.Close()
+	fake.SetFault(store.FaultNone)
+	for i := range 16 {
+		reply, err := newTestKeeper(t, fake, "c").Begin(ctx, callOf(fmt.Sprint("p-", i), "last"))
+		assert.NilError(t, err)
+		assert.Equal(t, reply.Start.Turn, 6)
+		for n := range 5 {
+			assert.Equal(t, string(reply.Start.History[2*n+1].Body), fmt.Sprint("answer ", n))
+		}
+	}
+}
+
+// converse makes five calls, each at either keeper, until each is kept.
+func converse(ctx context.Context, t *testing.T, keepers []*Keeper, root string, i int) {
+	open := OpenRequest{Program: root, Team: "team"}
+	until(func() bool {
+		reply, err := keepers[i%2].Open(ctx, open)
+		open.Resent = true
+		return err == nil && reply.Kept
+	})
+	for n := range 5 {
+		k := keepers[(i+n)%2]
+		r := callOf(root, fmt.Sprint("call", n))
+		r.ExpectedTurn = n + 1
+		var start *Start
+		until(func() bool {
+			reply, err := k.Begin(ctx, r)
+			if err == nil {
+				start = reply.Start
+			}
+			return start != nil
+		})
+		end := endOf(r, start, fmt.Sprint("answer ", n))
+		until(func() bool {
+			reply, err := k.End(ctx, end)
+			assert.Check(t, err != nil || !reply.Superseded)
+			return err == nil && reply.Kept
+		})
+	}
+}
+
+func until(done func() bool) {
+	for !done() {
+		runtime.Gosched()
+	}
+}
+
 func endOf(b BeginRequest, s *Start, answer string) EndRequest {
 	return EndRequest{
 		Program: b.Program, Team: b.Team, Turn: s.Turn, CallID: b.CallID, Attempt: b.Attempt,
