Survive killed and frozen instances, and prove it over processes

Cause: (1) a home kept the running turn of a killed relaying instance until the call's deadline, so the program stood still; (2) a Start that was lost because its asker left at that moment kept the turn likewise; (3) with exactly half of the seats lost no home minted tokens, so every call of every team waited until it was refused. Change: members tell the parts which instance no longer answers; a client that gave up waiting says so twice; half of the seats are worth half of the grant. Ruled out for (3): the pools (idle, both upstreams usable) and the carried turns (none), by the instances' dumps; the waiting place by their stacks.

--- a/boot/app.go
+++ b/boot/app.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"io"
 
-	"github.com/juju/errors"
+	"github.com/buckthorntide/buckthorntide/opcli"
 )
 
 const (
@@ -13,14 +13,11 @@
 	exitBadInput = 2
 )
 
-const usage = `usage: buckthorntide COMMAND [flags]
+const usage = `usage: buckthorntide serve [flags]    run an instance
+       buckthorntide demo             run stand-ins, three instances and a few programs
 
-  serve     run an instance
-  demo      run stand-ins, three instances and a few programs in one process
-
-%s`
-
-const errUnknownCommand = errors.ConstError("unknown command")
+operators' commands:
+`
 
 // App is the program: it picks the command that the arguments name.
 type App struct {
@@ -38,8 +35,8 @@
 // Run runs the command and returns the exit status.
 func (a *App) Run(args []string) int {
 	if len(args) == 0 {
-		_, _ = fmt.Fprintf(a.err, usage, "")
-		return exitBadInput
+		_, _ = fmt.Fprint(a.err, usage)
+		return opcli.Run(args, a.out, a.err, a.env)
 	}
 	switch args[0] {
 	case "serve":
@@ -47,7 +44,7 @@
 	case "demo":
 		return a.demo(args[1:])
 	default:
-		return a.fail(exitBadInput, errUnknownCommand)
+		return opcli.Run(args, a.out, a.err, a.env)
 	}
 }
 
--- a/boot/node.go
+++ b/boot/node.go
@@ -69,6 +69,7 @@
 		watch     *keys.Watch
 		spread    *spread.Spread
 		member    *member.Member
+		router    *homes.Router
 		quota     *quota.Home
 		keeper    *prog.Keeper
 		intents   *prog.Intents
@@ -163,10 +164,13 @@
 	n.carrier = progs.NewCarrier()
 	n.progs = progs.NewHome(n.common, n.thread, n.conns, n.keeper, n.carrier)
 	n.relayer = pools.NewRelayer(n.self.Name)
-	n.pools = pools.NewHome(n.common, n.thread, n.conns, n.relayer, n.engines, n.newPolicy)
 	config := fleet.NewConfig(n.common.Settings, n.epoch)
 	f := fleet.NewFleet(config, n.common.Clock.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	n.member = member.NewMember(n.common, f, n.thread, n.conns, n.platform, n.self, n.quota, n.progs, n.pools)
+	n.member = member.NewMember(n.common, f, n.thread, n.conns, n.platform, n.self)
+	n.router = homes.NewRouter(n.member, n.conns)
+	n.pools = pools.NewHome(n.common, n.thread, n.conns, n.relayer, n.engines,
+		progs.NewLives(n.router, n.progs), n.newPolicy)
+	n.member.Follow(n.quota, n.progs, n.pools)
 	n.progs.Follow(n.member)
 	n.pools.Follow(n.member)
 	n.spread.Follow(n.member, textFollower{n})
@@ -183,10 +187,9 @@
 	}
 	s := n.common.Settings
 	n.peers.Register(handlers...)
-	router := homes.NewRouter(n.member, n.conns)
-	limits := quota.NewClient(router, n.quota)
-	n.programs = progs.NewClient(n.common, router, n.progs, n.carrier)
-	n.routes = pools.NewClient(n.common, router, n.pools, n.relayer)
+	limits := quota.NewClient(n.router, n.quota)
+	n.programs = progs.NewClient(n.common, n.router, n.progs, n.carrier)
+	n.routes = pools.NewClient(n.common, n.router, n.pools, n.relayer)
 	model := calls.NewModel(n.common, n.self.Name, n.spread, limits, n.programs, n.routes, n.engines)
 	plain := calls.NewPlain(n.common, n.self.Name, limits, n.programs, n.routes, n.intents, n.plain)
 	var err error
--- a/boot/report.go
+++ b/boot/report.go
@@ -57,13 +57,12 @@
 func (n *Node) Status() admapi.StatusResponse {
 	now := n.common.Clock.Now()
 	view := n.member.View()
-	storeAge := now.Sub(n.spread.StoreHeard())
 	status := admapi.StatusResponse{
 		Instance:       n.self.Name,
 		FailureDomain:  n.self.FailureDomain,
 		NotReadyReason: n.NotReady(),
 		Draining:       n.draining.Load(),
-		StoreReachable: storeAge < time.Duration(n.common.Settings.StoreTimeout)+2*time.Second,
+		StoreReachable: n.spread.StoreReachable(),
 		TextRevision:   n.spread.Stamp().Revision,
 		DomainsOut:     n.spread.Text().DomainsOut,
 		Seats:          len(view.Seats),
--- a/limit/share.go
+++ b/limit/share.go
@@ -19,7 +19,8 @@
 	}
 
 	// Majority gives the whole grant to the home with more than half of the
-	// seats, so that seats that are lost or on their way cost nothing.
+	// seats, so that seats that are lost or on their way cost nothing, and half
+	// of it to a home with exactly half.
 	Majority struct{}
 
 	// Proportional gives each home the part of the grant that its seats are of
@@ -27,12 +28,17 @@
 	Proportional struct{}
 )
 
-// Of returns 16 with a majority, else none.
+// Of returns 16 with a majority, 8 with half of the seats, else none: whatever
+// the division, only one home has a majority and the rest is then below half.
 func (Majority) Of(seats int) int {
-	if seats >= fleet.ExclusiveSeats {
+	switch {
+	case seats >= fleet.ExclusiveSeats:
 		return fullShare
+	case seats == fleet.ExclusiveSeats-1:
+		return fullShare / 2
+	default:
+		return 0
 	}
-	return 0
 }
 
 // Of returns the number of seats.
--- a/member/member.go
+++ b/member/member.go
@@ -36,6 +36,8 @@
 		SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time)
 		// HandOver asks the part to give up shards in a planned handover.
 		HandOver(h fleet.Handover, now time.Time)
+		// Lost tells that an instance no longer answers.
+		Lost(instance string, now time.Time)
 	}
 
 	// Member is this instance's place in the fleet.
@@ -49,12 +51,13 @@
 		followers []Follower
 		view      atomic.Pointer[fleet.View]
 		leaving   atomic.Bool
+		// reachable are the instances that answered at the last tick.
+		reachable map[string]struct{}
 		group     *group.Group
 	}
 )
 
-// NewMember returns a member that runs the fleet on the thread. Followers are
-// told of authority in the order given.
+// NewMember returns a member that runs the fleet on the thread.
 func NewMember(
 	c *common.Common,
 	f *fleet.Fleet,
@@ -62,22 +65,24 @@
 	conns *peer.Conns,
 	platform store.Platform,
 	self store.Instance,
-	followers ...Follower,
 ) *Member {
 	m := &Member{
-		common:    c.Part("member"),
-		fleet:     f,
-		thread:    thread,
-		conns:     conns,
-		platform:  platform,
-		self:      self,
-		followers: followers,
-		group:     group.NewGroup(context.Background()),
+		common:   c.Part("member"),
+		fleet:    f,
+		thread:   thread,
+		conns:    conns,
+		platform: platform,
+		self:     self,
+		group:    group.NewGroup(context.Background()),
 	}
 	m.view.Store(f.View())
 	return m
 }
 
+// Follow sets who is told of authority, in the order given; it must be called
+// before the control thread starts.
+func (m *Member) Follow(followers ...Follower) { m.followers = followers }
+
 // Start begins to read the platform's list.
 func (m *Member) Start() { m.group.Go(m.followList) }
 
@@ -153,6 +158,7 @@
 			f.SetAuthority(a.Shard, a.Authority, now)
 		}
 	}
+	m.tellLost(now)
 	for _, e := range actions.Exchanges {
 		m.group.Go(func(ctx context.Context) { m.exchange(ctx, e) })
 	}
@@ -164,6 +170,26 @@
 	}
 }
 
+// tellLost tells the followers which instances no longer answer.
+func (m *Member) tellLost(now time.Time) {
+	reachable := make(map[string]struct{})
+	for _, other := range m.View().Members {
+		if other.Reachable {
+			reachable[other.Instance.Name] = struct{}{}
+		}
+	}
+	for name := range m.reachable {
+		if _, ok := reachable[name]; ok {
+			continue
+		}
+		m.common.Log.Warn("An instance no longer answers.", "instance", name)
+		for _, f := range m.followers {
+			f.Lost(name, now)
+		}
+	}
+	m.reachable = reachable
+}
+
 func (m *Member) publish() { m.view.Store(m.fleet.View()) }
 
 func (m *Member) handleExchange(ctx context.Context, q *fleet.PullRequest) (*fleet.PullReply, error) {
--- a/pools/home.go
+++ b/pools/home.go
@@ -56,11 +56,6 @@
 	// NewPolicy makes the policy of one service.
 	NewPolicy func(index *engine.CacheIndex) Policy
 
-	// Canceller ends a request at a model engine.
-	Canceller interface {
-		CancelRequest(ctx context.Context, t engine.Target, requestID string) error
-	}
-
 	// Home answers for the services whose home this instance is. All of its
 	// state belongs to the control thread.
 	Home struct {
@@ -70,11 +65,11 @@
 		relayer   *Relayer
 		viewer    Viewer
 		newPolicy NewPolicy
-		engines   Canceller
+		engines   Engines
+		programs  Lives
 		text      *conf.Text
 		authority [fleet.ShardCount]fleet.Authority
 		services  map[string]*service
-		members   map[string]struct{}
 		group     *group.Group
 	}
 
@@ -84,6 +79,13 @@
 		policy  Policy
 		index   *engine.CacheIndex
 		waiting map[string]chan route.Decision
+
+		nextProbe time.Time
+		// probing holds the engines that have a question open.
+		probing   map[string]bool
+		nextSweep time.Time
+		sweeping  bool
+		sweeper   *engine.Sweeper
 	}
 )
 
@@ -93,7 +95,8 @@
 	thread *ctrl.Thread,
 	conns *peer.Conns,
 	relayer *Relayer,
-	engines Canceller,
+	engines Engines,
+	programs Lives,
 	newPolicy NewPolicy,
 ) *Home {
 	return &Home{
@@ -103,9 +106,9 @@
 		relayer:   relayer,
 		newPolicy: newPolicy,
 		engines:   engines,
+		programs:  programs,
 		text:      &conf.Text{},
 		services:  make(map[string]*service),
-		members:   make(map[string]struct{}),
 		group:     group.NewGroup(context.Background()),
 	}
 }
@@ -161,12 +164,13 @@
 
 // Tick runs every policy once; it runs on the control thread.
 func (h *Home) Tick(now time.Time) {
-	h.forgetLost(now)
 	h.admit(now)
 	for _, s := range h.services {
 		exclusive := h.authority[fleet.ShardOf(s.config.Name)].At(now).Exclusive
 		h.apply(s, s.policy.SetAuthority(exclusive, now))
 		h.apply(s, s.policy.Tick(now))
+		h.probe(s, now)
+		h.sweep(s, now)
 	}
 }
 
@@ -206,6 +210,8 @@
 		policy:  h.newPolicy(index),
 		index:   index,
 		waiting: make(map[string]chan route.Decision),
+		probing: make(map[string]bool),
+		sweeper: engine.NewSweeper(engine.DefaultSweepLimits()),
 	}
 	h.services[config.Name] = s
 	members := h.viewer.View().Members
@@ -297,23 +303,12 @@
 	})
 }
 
-// forgetLost tells the policies of relaying instances that are gone.
-func (h *Home) forgetLost(now time.Time) {
-	reachable := make(map[string]struct{})
-	for _, m := range h.viewer.View().Members {
-		if m.Reachable {
-			reachable[m.Instance.Name] = struct{}{}
-		}
-	}
-	for name := range h.members {
-		if _, ok := reachable[name]; ok {
-			continue
-		}
-		for _, s := range h.services {
-			h.apply(s, s.policy.Forget(name, now))
-		}
+// Lost forgets what a relaying instance that no longer answers has waiting; it
+// runs on the control thread.
+func (h *Home) Lost(instance string, now time.Time) {
+	for _, s := range h.services {
+		h.apply(s, s.policy.Forget(instance, now))
 	}
-	h.members = reachable
 }
 
 // admit follows the dependencies: only services of this home are known here,
--- /dev/null
+++ b/pools/sweep.go
@@ -0,0 +1,134 @@
+package pools
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/engine"
+	"github.com/buckthorntide/buckthorntide/group"
+)
+
+// sweepInterval is the time between two sweeps of one service's engines.
+const sweepInterval = time.Second
+
+type (
+	// Lives tells which programs have ended.
+	Lives interface {
+		// Ended returns the ended ones of the programs and those that no home
+		// answered for.
+		Ended(ctx context.Context, programs []string) (ended, unclear []string)
+	}
+
+	// sweep is what one round of questions found.
+	sweep struct {
+		reports []engine.CacheReport
+		states  []engine.ProgramStatus
+	}
+)
+
+// sweep frees what the service's engines hold for programs that have ended,
+// also where the home that ended them died before it could say so.
+func (h *Home) sweep(s *service, now time.Time) {
+	if s.config.Kind != conf.KindModel || s.sweeping || now.Before(s.nextSweep) {
+		return
+	}
+	s.sweeping = true
+	s.nextSweep = now.Add(sweepInterval)
+	config := s.config
+	h.group.Go(func(ctx context.Context) { h.sweepEngines(ctx, s, config) })
+}
+
+func (h *Home) sweepEngines(ctx context.Context, s *service, config conf.Service) {
+	defer func() {
+		_ = h.thread.Post(context.WithoutCancel(ctx), func(time.Time) { s.sweeping = false })
+	}()
+	found := sweep{reports: h.listCaches(ctx, config)}
+	found.states = h.statuses(ctx, found.reports)
+	var releases []engine.Release
+	err := h.thread.Do(ctx, func(now time.Time) { releases = s.swept(found, now) })
+	if err != nil {
+		return
+	}
+	for _, r := range releases {
+		h.releaseCache(ctx, s, config, r)
+	}
+}
+
+// listCaches asks every engine for its whole cache.
+func (h *Home) listCaches(ctx context.Context, config conf.Service) []engine.CacheReport {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	asks := group.NewGroup(ctx)
+	lists := make([]*engine.CacheReport, len(config.Upstreams))
+	for i, u := range config.Upstreams {
+		asks.Go(func(ctx context.Context) {
+			list, err := h.engines.ListCache(ctx, engine.Target{Address: u.Address, Credential: config.Credential})
+			if err == nil {
+				lists[i] = &engine.CacheReport{Engine: u.Name, Capacity: u.CacheTokens, Entries: list.Entries}
+			}
+		})
+	}
+	asks.Wait()
+	asks.Close()
+	var reports []engine.CacheReport
+	for _, l := range lists {
+		if l != nil {
+			reports = append(reports, *l)
+		}
+	}
+	return reports
+}
+
+// statuses asks the homes of the programs that are held.
+func (h *Home) statuses(ctx context.Context, reports []engine.CacheReport) []engine.ProgramStatus {
+	seen := make(map[string]engine.ProgramState)
+	for _, r := range reports {
+		for _, e := range r.Entries {
+			seen[e.Program] = engine.ProgramLive
+		}
+	}
+	programs := make([]string, 0, len(seen))
+	for p := range seen {
+		programs = append(programs, p)
+	}
+	ended, unclear := h.programs.Ended(ctx, programs)
+	for _, p := range ended {
+		seen[p] = engine.ProgramEnded
+	}
+	for _, p := range unclear {
+		seen[p] = engine.ProgramUnclear
+	}
+	out := make([]engine.ProgramStatus, 0, len(seen))
+	for p, state := range seen {
+		out = append(out, engine.ProgramStatus{Program: p, State: state})
+	}
+	return out
+}
+
+// swept takes in what was found and returns what is to be freed.
+func (s *service) swept(found sweep, now time.Time) []engine.Release {
+	for _, r := range found.reports {
+		s.sweeper.ObserveCache(r)
+	}
+	for _, state := range found.states {
+		s.sweeper.ObserveProgram(state, now)
+	}
+	return s.sweeper.Tick(now)
+}
+
+func (h *Home) releaseCache(ctx context.Context, s *service, config conf.Service, r engine.Release) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for _, u := range config.Upstreams {
+		if u.Name != r.Engine {
+			continue
+		}
+		target := engine.Target{Address: u.Address, Credential: config.Credential}
+		if err := h.engines.ReleaseCache(ctx, target, r.Program); err != nil {
+			h.common.Log.Debug("A cache was not released.", "upstream", u.Name, "error", err)
+			return
+		}
+		_ = h.thread.Post(ctx, func(time.Time) { s.index.Release(r.Engine, r.Program) })
+	}
+}
--- a/progs/client.go
+++ b/progs/client.go
@@ -80,6 +80,7 @@
 		message := newBeginMessage(*q, c.common.Clock.Now())
 		reply, err := c.beginCall.Ask(ctx, c.router, shardOf(q.Program), &message)
 		if err != nil {
+			c.group.Go(func(ctx context.Context) { c.leave(ctx, q) })
 			return nil, errors.Trace(err)
 		}
 		if reply.Wait != nil && ctx.Err() == nil {
@@ -104,6 +105,33 @@
 	return reply, errors.Trace(err)
 }
 
+// leave ends a turn whose start may have been lost on its way here: the home
+// would else wait for its report until the call's deadline. It is said twice,
+// since the first may come before the home has noticed that the asker left.
+func (c *Client) leave(ctx context.Context, q *prog.BeginRequest) {
+	end := &prog.EndRequest{
+		Program: q.Program,
+		Team:    q.Team,
+		CallID:  q.CallID,
+		Attempt: q.Attempt,
+		Relay:   q.Relay,
+		Kind:    q.Kind,
+		Digest:  q.Digest,
+		Outcome: prog.OutcomeCancelled,
+	}
+	for range 2 {
+		if !pause(ctx, resendInterval) {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+		_, err := c.endCall.Ask(callCtx, c.router, shardOf(q.Program), end)
+		cancel()
+		if err != nil {
+			c.common.Log.Debug("A turn was not left.", "program", q.Program, "error", err)
+		}
+	}
+}
+
 // Close ends a program.
 func (c *Client) Close(ctx context.Context, q *prog.CloseRequest) (*prog.CloseReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
--- a/progs/home.go
+++ b/progs/home.go
@@ -78,6 +78,7 @@
 		End.Handle(h.end),
 		Close.Handle(h.closeProgram),
 		Carried.Handle(h.carried),
+		Ended.Handle(h.ended),
 	}
 }
 
@@ -117,6 +118,10 @@
 	}
 }
 
+// Lost drops the running turns of a relaying instance that no longer answers;
+// it runs on the control thread.
+func (h *Home) Lost(instance string, _ time.Time) { h.keeper.RelayGone(instance) }
+
 func (h *Home) unload(s fleet.Shard) {
 	h.gained.Clear(s)
 	h.group.Go(func(ctx context.Context) {
@@ -214,6 +219,12 @@
 	return &CarriedReply{Turns: h.carrier.List(q.Shards, h.common.Clock.Now())}, nil
 }
 
+// ended answers also for programs of other homes: what this home does not
+// know is read from the table service.
+func (h *Home) ended(ctx context.Context, q *EndedRequest) (*EndedReply, error) {
+	return &EndedReply{Programs: h.keeper.Ended(ctx, q.Programs)}, nil
+}
+
 // isHome tells whether this instance has any authority over the program's
 // shard. Which home may begin a turn needs no exclusive authority: the commit
 // is conditional.
--- a/progs/message.go
+++ b/progs/message.go
@@ -19,6 +19,8 @@
 	End = peer.Method[prog.EndRequest, prog.EndReply]{Name: "EndTurn"}
 	// Close is the remote method that ends a program.
 	Close = peer.Method[prog.CloseRequest, prog.CloseReply]{Name: "CloseProgram"}
+	// Ended is the remote method that asks which programs have ended.
+	Ended = peer.Method[EndedRequest, EndedReply]{Name: "EndedPrograms"}
 	// Carried is the remote method that asks a relaying instance which turns
 	// it runs.
 	Carried = peer.Method[CarriedRequest, CarriedReply]{Name: "CarriedTurns"}
@@ -32,6 +34,16 @@
 		TimeLeft time.Duration     `json:"timeLeft"`
 	}
 
+	// EndedRequest asks which of some programs have ended.
+	EndedRequest struct {
+		Programs []string `json:"programs"`
+	}
+
+	// EndedReply lists ended programs.
+	EndedReply struct {
+		Programs []string `json:"programs"`
+	}
+
 	// CarriedRequest asks for the running turns of some shards.
 	CarriedRequest struct {
 		Shards fleet.Bitmap `json:"shards"`
--- a/quota/home.go
+++ b/quota/home.go
@@ -109,6 +109,9 @@
 	})
 }
 
+// Lost does nothing: tokens that an instance was given are spent.
+func (h *Home) Lost(string, time.Time) {}
+
 // SetGrant follows a changed grant; it runs on the control thread.
 func (h *Home) SetGrant(team string, old, grant limit.Grant, now time.Time) {
 	h.buckets.SetGrant(fleet.ShardOf(team), team, old, grant, now)
--- a/spread/message.go
+++ b/spread/message.go
@@ -39,7 +39,10 @@
 	}
 
 	// PushReply acknowledges a PushMessage.
-	PushReply struct{}
+	PushReply struct {
+		// Revision is the receiver's revision of the keys after a change.
+		Revision int64 `json:"revision"`
+	}
 
 	// FetchTextRequest asks for a peer's text.
 	FetchTextRequest struct{}
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -11,14 +11,18 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
-// followPeers asks a few peers in each round what they know.
+// followPeers asks a few peers in each round what they know, and all of them
+// while the table service is not heard: then half of the fleet must answer.
 func (s *Spread) followPeers(ctx context.Context) {
 	interval := time.Duration(s.common.Settings.HeartbeatInterval)
 	for {
 		peers := s.peers()
-		s.want(ctx, len(peers))
+		s.want(ctx, len(peers)+1)
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		for _, p := range peers[:min(len(peers), syncPeers)] {
+		if s.StoreReachable() {
+			peers = peers[:min(len(peers), syncPeers)]
+		}
+		for _, p := range peers {
 			s.group.Go(func(ctx context.Context) { s.syncWith(ctx, p) })
 		}
 		if !pause(ctx, interval) {
@@ -27,14 +31,13 @@
 	}
 }
 
-// want sets how many peers stand in for the table service: with half of them
-// this instance is in the larger part of the fleet.
-func (s *Spread) want(ctx context.Context, peers int) {
-	half := max(1, (peers+1)/2)
+// want sets how many peers stand in for the table service.
+func (s *Spread) want(ctx context.Context, instances int) {
+	quorum := keys.QuorumPeers(instances)
 	_ = s.thread.Post(ctx, func(time.Time) {
-		s.ledger.Want(half)
+		s.ledger.Want(quorum)
 		for _, set := range s.sets {
-			set.Want(min(half, syncPeers))
+			set.Want(quorum)
 		}
 	})
 }
@@ -159,23 +162,32 @@
 }
 
 // push sends a change to every peer; who misses it learns it by Sync or from
-// the table service.
-func (s *Spread) push(q *PushMessage) {
+// the table service. Each peer's reply is handed to heard, which may be nil.
+func (s *Spread) push(q *PushMessage, heard func(instance string, reply *PushReply)) {
 	for _, p := range s.peers() {
 		s.group.Go(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 			defer cancel()
-			conn, err := s.conns.To(p.Address)
-			if err == nil {
-				_, err = Push.Call(ctx, conn, q)
-			}
+			reply, err := s.pushTo(ctx, p, q)
 			if err != nil {
 				s.common.Log.Debug("A push was lost.", "instance", p.Name, "error", err)
+				return
+			}
+			if heard != nil {
+				heard(p.Name, reply)
 			}
 		})
 	}
 }
 
+func (s *Spread) pushTo(ctx context.Context, p store.Instance, q *PushMessage) (*PushReply, error) {
+	conn, err := s.conns.To(p.Address)
+	if err != nil {
+		return nil, err
+	}
+	return Push.Call(ctx, conn, q)
+}
+
 func (s *Spread) state(now time.Time) SyncMessage {
 	return SyncMessage{
 		Instance: s.self,
@@ -197,18 +209,31 @@
 	if q.Change != nil && s.sets[q.Kind] == nil {
 		return nil, peer.NotHome()
 	}
+	reply := &PushReply{}
 	err := s.thread.Do(ctx, func(now time.Time) {
 		if q.Head != nil {
 			s.learnHead(*q.Head, q.Instance, now)
 		}
 		if q.Change != nil {
 			s.cut(s.sets[q.Kind].Push(*q.Change))
+			reply.Revision = s.sets[q.Kind].Revision()
 		}
 	})
-	if err != nil {
-		return nil, err
+	if err != nil || q.Change == nil || reply.Revision >= q.Change.Revision {
+		return reply, err
+	}
+	return s.closeGap(ctx, q, reply), nil
+}
+
+// closeGap fetches the changes before a pushed one from the peer that pushed.
+func (s *Spread) closeGap(ctx context.Context, q *PushMessage, reply *PushReply) *PushReply {
+	pusher, ok := s.viewer.View().Member(q.Instance)
+	if !ok {
+		return reply
 	}
-	return &PushReply{}, nil
+	s.fetchKeys(ctx, pusher.Instance, q.Kind, keys.Learned{Fetch: true})
+	_ = s.thread.Do(ctx, func(time.Time) { reply.Revision = s.sets[q.Kind].Revision() })
+	return reply
 }
 
 func (s *Spread) handleFetchText(ctx context.Context, _ *FetchTextRequest) (*conf.Head, error) {
--- a/spread/poll.go
+++ b/spread/poll.go
@@ -124,11 +124,11 @@
 // get reads a row, of version zero where it is absent.
 func (s *Spread) get(ctx context.Context, key string) (store.Row, error) {
 	row, err := s.table.Get(ctx, key)
-	if err != nil && !errors.Is(err, store.ErrNotFound) {
+	reachable := err == nil || errors.Is(err, store.ErrNotFound)
+	s.storeReachable.Store(reachable)
+	if !reachable {
 		return store.Row{}, errors.Trace(err)
 	}
-	now := s.common.Clock.Now()
-	s.storeHeard.Store(&now)
 	s.viewer.PlatformHeard(ctx)
 	if err != nil {
 		return store.Row{Key: key}, nil
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -62,8 +62,9 @@
 		text  atomic.Pointer[conf.Text]
 		stamp atomic.Pointer[conf.Stamp]
 		ready atomic.Bool
-		// storeHeard is when the table service last answered.
-		storeHeard atomic.Pointer[time.Time]
+		// storeReachable says that the last question to the table service was
+		// answered.
+		storeReachable atomic.Bool
 		// wasFresh belongs to the control thread.
 		wasFresh bool
 	}
@@ -140,15 +141,8 @@
 	return s.sets[keys.CallerKind].Fresh(s.common.Clock.Now())
 }
 
-// StoreHeard returns when the table service last answered; the zero time means
-// never.
-func (s *Spread) StoreHeard() time.Time {
-	heard := s.storeHeard.Load()
-	if heard == nil {
-		return time.Time{}
-	}
-	return *heard
-}
+// StoreReachable tells whether the table service answered the last question.
+func (s *Spread) StoreReachable() bool { return s.storeReachable.Load() }
 
 // Keys returns the keys of one kind, for checks.
 func (s *Spread) Keys(kind keys.Kind) *keys.Keys { return s.sets[kind] }
@@ -173,17 +167,32 @@
 // Accepted brings an edit of this instance's operators into force here and
 // pushes it to every peer.
 func (s *Spread) Accepted(ctx context.Context, head conf.Head) error {
-	err := s.thread.Do(ctx, func(now time.Time) { s.learnHead(head, s.self, now) })
-	s.push(&PushMessage{Instance: s.self, Head: &head})
+	err := s.thread.Do(ctx, func(now time.Time) { s.learnHead(head, conf.FromStore, now) })
+	s.push(&PushMessage{Instance: s.self, Head: &head}, nil)
 	return err
 }
 
 // KeyChanged brings a change of a key into force here and pushes it to every
-// peer.
+// peer. It returns once a majority knows the change, or after a bound; the
+// rest learns it from the table service.
 func (s *Spread) KeyChanged(ctx context.Context, kind keys.Kind, change keys.Change) error {
-	err := s.thread.Do(ctx, func(time.Time) { s.cut(s.sets[kind].Push(change)) })
-	s.push(&PushMessage{Instance: s.self, Kind: kind, Change: &change})
-	return err
+	var revision int64
+	err := s.thread.Do(ctx, func(time.Time) {
+		s.cut(s.sets[kind].Push(change))
+		revision = s.sets[kind].Revision()
+	})
+	if err != nil {
+		return err
+	}
+	acks := newMajority(change.Revision, len(s.peers())+1)
+	acks.hear(s.self, revision)
+	s.push(&PushMessage{Instance: s.self, Kind: kind, Change: &change}, func(instance string, reply *PushReply) {
+		acks.hear(instance, reply.Revision)
+	})
+	if !acks.wait(ctx, syncTimeout) {
+		s.common.Log.Warn("A change of a key is not yet known to a majority.", "revision", change.Revision)
+	}
+	return nil
 }
 
 // learnHead takes a text that was read or pushed.
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -70,8 +71,10 @@
 		config EngineConfig
 		server *server
 
-		mu          sync.Mutex
-		random      *rand.Rand
+		mu     sync.Mutex
+		random *rand.Rand
+		// starts counts the engine's starts.
+		starts      int
 		epoch       context.Context
 		endEpoch    context.CancelCauseFunc
 		awayUntil   time.Time
@@ -94,10 +97,12 @@
 
 	// EngineLoad is an engine's lagging report of its load.
 	EngineLoad struct {
-		Running int `json:"running"`
-		Queued  int `json:"queued"`
-		// CacheUsed is the tokens that the cache holds.
-		CacheUsed int `json:"cacheUsed"`
+		// Epoch changes with each start of the engine.
+		Epoch   string `json:"epoch"`
+		Running int    `json:"running"`
+		Queued  int    `json:"queued"`
+		// CacheTokens is the tokens that the cache holds.
+		CacheTokens int `json:"cacheTokens"`
 		// CacheLimit is the tokens that it can hold.
 		CacheLimit int `json:"cacheLimit"`
 	}
@@ -257,11 +262,13 @@
 // reset begins an epoch with an empty cache.
 func (e *Engine) reset() {
 	ctx, cancel := context.WithCancelCause(context.Background())
+	e.starts++
 	e.epoch = ctx
 	e.endEpoch = cancel
 	e.slots = &slotQueue{free: e.config.Slots}
 	e.prefillFree = time.Time{}
 	e.emptyCache()
+	e.noteLoad()
 }
 
 func (e *Engine) emptyCache() {
@@ -276,10 +283,11 @@
 func (e *Engine) noteLoad() {
 	running := e.config.Slots - e.slots.free
 	e.load.set(EngineLoad{
-		Running:    running,
-		Queued:     len(e.slots.waiting),
-		CacheUsed:  e.cache.used,
-		CacheLimit: e.config.CacheTokens,
+		Running:     running,
+		Queued:      len(e.slots.waiting),
+		Epoch:       strconv.Itoa(e.starts),
+		CacheTokens: e.cache.used,
+		CacheLimit:  e.config.CacheTokens,
 	}, time.Now())
 }
 
@@ -292,7 +300,7 @@
 	if e.random.Float64() < e.config.EventGap {
 		return
 	}
-	event := CacheEvent{Seq: e.eventSeq, Kind: kind, Program: program, Tokens: tokens}
+	event := CacheEvent{Sequence: e.eventSeq, Kind: kind, Program: program, Tokens: tokens}
 	e.events = append(e.events, stamped[CacheEvent]{at: time.Now(), value: event})
 	if len(e.events) > maxEvents {
 		e.events = e.events[1:]
--- a/stand/enginecache.go
+++ b/stand/enginecache.go
@@ -10,7 +10,10 @@
 const maxEvents = 10000
 
 func (e *Engine) serveCache(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, CacheList{Entries: e.Cache()})
+	e.mu.Lock()
+	sequence := e.eventSeq
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, CacheList{Sequence: sequence, Entries: e.Cache()})
 }
 
 func (e *Engine) serveDropCache(w http.ResponseWriter, r *http.Request) {
@@ -74,7 +77,7 @@
 		if now.Sub(event.at) < e.config.EventLag {
 			break
 		}
-		if event.value.Seq > after {
+		if event.value.Sequence > after {
 			found = append(found, event.value)
 		}
 	}
--- a/stand/prefixcache.go
+++ b/stand/prefixcache.go
@@ -21,11 +21,11 @@
 
 	// CacheEvent is one change of an engine's cache.
 	CacheEvent struct {
-		// Seq numbers the events; gaps are events that got lost.
-		Seq     int64     `json:"seq"`
-		Kind    EventKind `json:"kind"`
-		Program string    `json:"program"`
-		Tokens  int       `json:"tokens"`
+		// Sequence numbers the events; gaps are events that got lost.
+		Sequence int64     `json:"sequence"`
+		Kind     EventKind `json:"kind"`
+		Program  string    `json:"program"`
+		Tokens   int       `json:"tokens"`
 	}
 
 	// CacheEntry is one prefix that an engine holds.
@@ -38,7 +38,9 @@
 
 	// CacheList is the answer to the listing of the cache.
 	CacheList struct {
-		Entries []CacheEntry `json:"entries"`
+		// Sequence is the last event that the list reflects.
+		Sequence int64        `json:"sequence"`
+		Entries  []CacheEntry `json:"entries"`
 	}
 
 	// CacheEvents is the answer to the listing of events.
--- a/trial/cluster_test.go
+++ b/trial/cluster_test.go
@@ -26,7 +26,7 @@
 	model    = "obi-7b"
 	// patience bounds every wait for something that must happen; it is far
 	// above what is normal, so that a busy machine does not fail a test.
-	patience  = 60 * time.Second
+	patience  = 40 * time.Second
 	pollPause = 20 * time.Millisecond
 )
 
@@ -198,7 +198,9 @@
 		return err
 	}
 	q.Header.Set("Authorization", "Bearer "+adminKey)
-	resp, err := http.DefaultClient.Do(q)
+	ctx, cancel := context.WithTimeout(q.Context(), tryTimeout)
+	defer cancel()
+	resp, err := http.DefaultClient.Do(q.WithContext(ctx))
 	if err != nil {
 		return err
 	}
@@ -213,13 +215,14 @@
 	return json.Unmarshal(answer, out)
 }
 
-func (c *cluster) status(i *instance) admapi.StatusResponse {
-	c.t.Helper()
-	var status admapi.StatusResponse
-	c.eventually("the status is read", func() error {
-		return c.operate(i, http.MethodGet, admapi.PathStatus, nil, &status)
-	})
-	return status
+// logDumps logs the state of every instance that answers.
+func (c *cluster) logDumps() {
+	for _, i := range c.instances {
+		var dump json.RawMessage
+		if err := c.operate(i, http.MethodGet, admapi.PathDump, nil, &dump); err == nil {
+			c.t.Logf("dump of %s: %s", i.name, dump)
+		}
+	}
 }
 
 func (c *cluster) awaitReady(i *instance) {
