--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -362,6 +362,30 @@
 	assert.Equal(t, moved.Assign.Move.From, first.Assign.Upstream)
 }
 
+func TestShortPausesKeepTheirCache(t *testing.T) {
+	cases := []struct {
+		name     string
+		pause    time.Duration
+		upstream string
+	}{
+		{name: "short pause", pause: time.Second, upstream: "e001"},
+		{name: "long pause", pause: time.Minute, upstream: "e000"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := warmPool(route.DefaultLimits(), 2, 2)
+			paused, fresh := call("paused", "t"), call("fresh", "t")
+			paused.PromptTokens, fresh.PromptTokens = modelCache-1000, 5000
+			d := only(p.Submit(paused, epoch), route.KindAssign)
+			assert.Equal(t, d.Assign.Upstream, "e000")
+			p.Done(done(d, route.OutcomeCompleted), epoch.Add(time.Second))
+			now := epoch.Add(time.Second + c.pause)
+			p.Tick(now)
+			assert.Equal(t, only(p.Submit(fresh, now), route.KindAssign).Assign.Upstream, c.upstream)
+		})
+	}
+}
+
 func TestUsable(t *testing.T) {
 	services := []conf.Service{
 		{Name: "shop", DependsOn: []string{"chat", "pay"}},
