--- a/route/figures_test.go
+++ b/route/figures_test.go
@@ -76,10 +76,10 @@
 func logFigures(t *testing.T, name string, m *model, s modelSetup) {
 	t.Helper()
 	all := m.all()
-	t.Logf("%-5s p50 %.2f p95 %.2f p99 %.2f s; over ideal %.2f %.2f %.2f; wasted %.2f%%; worst team %.2f; cold overloads %d",
+	t.Logf("%-5s p50 %.2f p95 %.2f p99 %.2f s; over ideal %.2f %.2f %.2f; wasted %.2f%%; worst team %.2f, with the noisy one %.2f; cold overloads %d",
 		name, percentile(all, 0.5), percentile(all, 0.95), percentile(all, 0.99),
 		percentile(all, 0.5)/percentile(m.ideals, 0.5),
 		percentile(all, 0.95)/percentile(m.ideals, 0.95),
 		percentile(all, 0.99)/percentile(m.ideals, 0.99),
-		100*m.wastedRatio(), m.worstRatio(s.noisy > 1), m.coldOverloads)
+		100*m.wastedRatio(), m.worstRatio(s.noisy > 1), m.worstRatio(false), m.coldOverloads)
 }
