--- a/boot/node.go
+++ b/boot/node.go
@@ -130,7 +130,7 @@
 		MarkerPrefix: "commit/" + strconv.FormatUint(n.epoch, 36),
 	})
 	n.thread = ctrl.NewThread(n.common, tickInterval)
-	n.conns = peer.NewConns()
+	n.conns = peer.NewConns(n.common.Metrics)
 	n.watch = keys.NewWatch()
 	config := fleet.NewConfig(s, n.epoch)
 	n.self = config.Self
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
@@ -23,13 +24,14 @@
 // Conns keeps one connection to each peer that was ever called. It is safe
 // for concurrent use.
 type Conns struct {
+	meter *Meter
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
 }
 
-// NewConns returns an empty set of connections.
-func NewConns() *Conns {
-	return &Conns{conns: make(map[string]*grpc.ClientConn)}
+// NewConns returns an empty set of connections that counts into the registry.
+func NewConns(registry metrics.Registry) *Conns {
+	return &Conns{meter: NewMeter(registry, "peer.client"), conns: make(map[string]*grpc.ClientConn)}
 }
 
 // To returns the connection to the peer at the address (IP:port). It is made
@@ -40,7 +42,7 @@
 	if conn, ok := c.conns[address]; ok {
 		return conn, nil
 	}
-	conn, err := dial(address)
+	conn, err := c.dial(address)
 	if err != nil {
 		return nil, errors.WithType(err, ErrUnreachable)
 	}
@@ -68,8 +70,9 @@
 // Close closes every connection.
 func (c *Conns) Close() { c.Keep(nil) }
 
-func dial(address string) (*grpc.ClientConn, error) {
+func (c *Conns) dial(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithStatsHandler(c.meter),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(
 			grpc.ForceCodec(Codec{}),
--- a/peer/server.go
+++ b/peer/server.go
@@ -43,6 +43,7 @@
 		server: grpc.NewServer(
 			grpc.ForceServerCodec(Codec{}),
 			grpc.MaxRecvMsgSize(maxMessageBytes),
+			grpc.StatsHandler(NewMeter(c.Metrics, "peer.server")),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 		),
 		group: group.NewGroup(context.Background()),
--- a/trial/cluster_test.go
+++ b/trial/cluster_test.go
@@ -36,7 +36,7 @@
 	// cluster is a platform, upstreams and instances. The stand-ins run in the
 	// test's process, every instance in one of its own.
 	cluster struct {
-		t         *testing.T
+		t         testing.TB
 		net       string
 		hosts     int
 		platform  *stand.Platform
@@ -66,7 +66,7 @@
 )
 
 // newCluster starts a cluster and applies a text with two teams.
-func newCluster(t *testing.T, o options) *cluster {
+func newCluster(t testing.TB, o options) *cluster {
 	t.Helper()
 	number := int(clusters.Add(1))
 	c := &cluster{
--- a/trial/process_test.go
+++ b/trial/process_test.go
@@ -39,7 +39,7 @@
 type (
 	// process is one running program that a test may kill, freeze and stop.
 	process struct {
-		t      *testing.T
+		t      testing.TB
 		cmd    *exec.Cmd
 		output *lockedBuffer
 		exited chan error
@@ -64,7 +64,7 @@
 }
 
 // startProcess runs the product with the arguments until the test ends.
-func startProcess(t *testing.T, env []string, args ...string) *process {
+func startProcess(t testing.TB, env []string, args ...string) *process {
 	t.Helper()
 	binary, err := buildOnce()
 	assert.NilError(t, err, binary)
