Hold back calls that become suspects while they wait

Cause: a copy of a poisonous request that waited in a fair queue was sent off without a look at the suspects; only calls that came after the crash were held.

Change: a call is looked at again when it leaves its queue: a suspect is held to run alone, a convicted one is refused.

Conclusion: poison stops after two upstreams also in a full queue.

--- a/route/dispatch.go
+++ b/route/dispatch.go
@@ -12,6 +12,10 @@
 
 // place sends a call off or makes it wait where it best does.
 func (p *Pool) place(e *entry, now time.Time) {
+	if p.suspects.suspected(e.Fingerprint) {
+		p.hold(e, now)
+		return
+	}
 	c := p.choose(e, now)
 	switch {
 	case c.upstream != nil && !c.wait:
@@ -61,8 +65,7 @@
 			if c.upstream == nil || c.wait {
 				break
 			}
-			v.queue.remove(e)
-			p.assign(e, c.upstream, c.move, now)
+			p.send(e, c.upstream, c.move, now)
 		}
 	}
 }
@@ -79,8 +82,7 @@
 		if e == nil {
 			return
 		}
-		e.queue.remove(e)
-		p.assign(e, u, nil, now)
+		p.send(e, u, nil, now)
 	}
 }
 
@@ -90,9 +92,19 @@
 		if e == nil {
 			return
 		}
-		e.queue.remove(e)
-		p.assign(e, u, nil, now)
+		p.send(e, u, nil, now)
+	}
+}
+
+// send takes a call out of its queue to an upstream, unless it has become a
+// suspect while it waited.
+func (p *Pool) send(e *entry, u *upstream, move *Move, now time.Time) {
+	e.queue.remove(e)
+	if p.suspects.suspected(e.Fingerprint) {
+		p.hold(e, now)
+		return
 	}
+	p.assign(e, u, move, now)
 }
 
 // next returns the call that the upstream takes next, or nil.
@@ -127,8 +139,14 @@
 	return nil
 }
 
-// hold keeps a suspect or a call with upstreams to avoid until it may run.
+// hold keeps a suspect until it may run, and refuses a convicted request.
 func (p *Pool) hold(e *entry, now time.Time) {
+	if p.suspects.convicted(e.Fingerprint) {
+		p.dequeue(e)
+		p.counters.Poisoned++
+		p.refuseFor(e, ErrPoison)
+		return
+	}
 	e.state = stateSuspect
 	p.held = append(p.held, e)
 	p.releaseHeld(now)
--- a/route/poison_test.go
+++ b/route/poison_test.go
@@ -169,6 +169,32 @@
 	}
 }
 
+// TestPoisonThatWaitsIsStoppedToo has copies of the request wait behind others
+// while the first one crashes its upstreams.
+func TestPoisonThatWaitsIsStoppedToo(t *testing.T) {
+	for seed := range uint64(20) {
+		r := newPoisonRun(t, seed, 8)
+		for i := range 8*modelSlots + 400 {
+			fingerprint := uint64(1000 + i)
+			if i >= 8*modelSlots && i%80 == 0 {
+				fingerprint = poisonPrint
+			}
+			r.submit(fmt.Sprintf("c%04d", i), fingerprint)
+		}
+		for steps := 0; r.pool.State(r.now).Calls > 0 && steps < 2000; steps++ {
+			r.step()
+			if steps%10 == 9 {
+				r.load()
+			}
+		}
+		assert.Assert(t, len(r.crashes) <= 2, "seed %d: crashed %v", seed, r.crashes)
+		assert.Equal(t, r.pool.State(r.now).Calls, 0)
+		for id, c := range r.calls {
+			assert.Equal(t, r.done[id], c.Fingerprint != poisonPrint, "seed %d: %s %+v", seed, id, r.ended[id])
+		}
+	}
+}
+
 // TestSuspectsRunApart crashes an upstream with many calls in flight: each of
 // them then runs on an upstream without another suspect.
 func TestSuspectsRunApart(t *testing.T) {
--- a/route/submit.go
+++ b/route/submit.go
@@ -177,10 +177,6 @@
 	if !e.Deadline.IsZero() {
 		p.due.push(e)
 	}
-	if p.suspects.suspected(e.Fingerprint) {
-		p.hold(e, now)
-		return
-	}
 	p.place(e, now)
 }
 
