Test each mechanism of fleet and limit on its own

Seat holders are known from the rows where there is no full mesh; a home whose seats come one after the other takes the levels of a handover; messages carry short tags.

--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+var benchSizes = []int{12, 100, 340}
+
+// net runs fleets without delay or loss, on one clock and one table.
+type net struct {
+	fleets []*Fleet
+	byName map[string]*Fleet
+	table  *rowTable
+	now    time.Time
+	bytes  int
+	count  int
+}
+
+func newNet(n int) *net {
+	w := &net{table: newRowTable(), now: time.Unix(0, 0), byName: make(map[string]*Fleet)}
+	list := make([]store.Instance, 0, n)
+	for i := range n {
+		list = append(list, store.Instance{
+			Name: fmt.Sprintf("10.1.%d.%d:8080", i/200, i%200), Address: fmt.Sprintf("10.1.%d.%d:8082", i/200, i%200),
+			FailureDomain: string(rune('a' + i%4)),
+		})
+	}
+	for i, in := range list {
+		c := NewConfig(conf.DefaultSettings(), uint64(i+1)<<40)
+		c.Self = in
+		f := NewFleet(c, w.now, rand.New(rand.NewPCG(uint64(i), 1)))
+		f.Listed(list, w.now)
+		w.fleets = append(w.fleets, f)
+		w.byName[in.Name] = f
+	}
+	return w
+}
+
+func (w *net) step(d time.Duration) {
+	w.now = w.now.Add(d)
+	for _, f := range w.fleets {
+		w.apply(f, f.Tick(w.now))
+	}
+}
+
+func (w *net) apply(f *Fleet, a Actions) {
+	for _, x := range a.Exchanges {
+		reply := w.byName[x.Peer.Name].HandlePull(x.Request, w.now)
+		f.Received(x.Peer.Name, reply, w.now)
+		w.bytes += x.Request.WireBytes() + reply.WireBytes()
+		w.count++
+	}
+	if a.ReadRows {
+		f.RowsRead(w.table.read(SeatPrefix), w.table.read(SessionPrefix), w.now)
+	}
+	if a.Commit != nil {
+		version, err := w.table.commit(*a.Commit)
+		f.Committed(a.Commit.RequestID, version, err, w.now)
+	}
+}
+
+// settled is a net whose seats and delegations have come to rest.
+func settled(n int) *net {
+	w := newNet(n)
+	for range 400 {
+		w.step(100 * time.Millisecond)
+	}
+	return w
+}
+
+// TestEveryShardHasExclusiveHome checks fleets of all sizes at rest.
+func TestEveryShardHasExclusiveHome(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 12, 17, 100} {
+		w := settled(n)
+		for s := range ShardCount {
+			home, ok := w.fleets[0].View().Home(Shard(s))
+			assert.Assert(t, ok)
+			a := w.byName[home.Name].View().Authority(Shard(s), w.now)
+			assert.Equal(t, a.Seats, SeatCount, "%d instances, shard %d", n, s)
+		}
+	}
+}
+
+// TestWireBytes keeps the count of bytes near the encoding that is used.
+func TestWireBytes(t *testing.T) {
+	w := settled(12)
+	f := w.fleets[0]
+	r := f.request("", w.now)
+	reply := w.fleets[1].HandlePull(r, w.now)
+	raw, err := cbor.Marshal(r)
+	assert.NilError(t, err)
+	checkNear(t, r.WireBytes(), len(raw))
+	raw, err = cbor.Marshal(reply)
+	assert.NilError(t, err)
+	checkNear(t, reply.WireBytes(), len(raw))
+}
+
+func checkNear(t *testing.T, counted, encoded int) {
+	t.Helper()
+	onWire := encoded + frameBytes + packetBytes
+	near := counted >= onWire*9/10 && counted <= onWire*11/10
+	assert.Check(t, near, "counted %d, encoded %d", counted, onWire)
+}
+
+// TestTrafficBudget holds the average instance of the largest fleet to 4 KB/s
+// of control, in and out. Seat holders have more; the log says how much.
+func TestTrafficBudget(t *testing.T) {
+	const budget = 4096
+	tests := []struct {
+		instances int
+		bound     int64
+	}{{12, 0}, {100, 0}, {340, budget}}
+	for _, test := range tests {
+		w := settled(test.instances)
+		before := w.traffic()
+		const seconds = 30
+		for range seconds * 10 {
+			w.step(100 * time.Millisecond)
+		}
+		var sum, most int64
+		for i, total := range w.traffic() {
+			bytes := (total - before[i]) / seconds
+			sum += bytes
+			most = max(most, bytes)
+		}
+		mean := sum / int64(test.instances)
+		t.Logf("%d instances: %d B/s on the average, %d B/s at the busiest", test.instances, mean, most)
+		assert.Check(t, test.bound == 0 || mean <= test.bound)
+	}
+}
+
+// traffic returns every instance's bytes so far.
+func (w *net) traffic() []int64 {
+	totals := make([]int64, 0, len(w.fleets))
+	for _, f := range w.fleets {
+		totals = append(totals, f.Traffic().BytesSent+f.Traffic().BytesReceived)
+	}
+	return totals
+}
+
+func BenchmarkHomes(b *testing.B) {
+	for _, n := range benchSizes {
+		members := someMembers(n)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				rendezvous(members)
+			}
+		})
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range benchSizes {
+		w := settled(n)
+		f := w.fleets[0]
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				w.now = w.now.Add(time.Microsecond)
+				w.apply(f, f.Tick(w.now))
+			}
+		})
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	for _, n := range benchSizes {
+		w := settled(n)
+		home, holder := w.fleets[0], w.fleets[0]
+		for _, f := range w.fleets[1:] {
+			if len(f.View().Seats) > 0 {
+				holder = f
+			}
+		}
+		m := home.membership.byName[holder.config.Self.Name]
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			bytes := 0
+			for b.Loop() {
+				w.now = w.now.Add(time.Microsecond)
+				x := home.exchange(m, w.now)
+				reply := holder.HandlePull(x.Request, w.now)
+				home.Received(holder.config.Self.Name, reply, w.now)
+				bytes = x.Request.WireBytes() + reply.WireBytes()
+			}
+			b.ReportMetric(float64(bytes), "B/exchange")
+		})
+	}
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -12,11 +12,12 @@
 	if !mesh {
 		f.probe(now)
 	}
+	pulls := !f.membership.own.Empty() || len(f.handovers) > 0
 	for _, m := range f.membership.members {
 		if m.instance.Name == f.config.Self.Name || now.Before(m.nextProbe) {
 			continue
 		}
-		if mesh || m.watched() {
+		if mesh || m.watched(pulls) {
 			due = append(due, f.exchange(m, now))
 		}
 	}
@@ -24,10 +25,11 @@
 }
 
 // watched says that a member is exchanged with also where there is no mesh.
-func (m *member) watched() bool {
+// Seat holders are, by those that pull from them.
+func (m *member) watched(pulls bool) bool {
 	failing := !m.failed && m.failures > 0
 	returning := m.failed && !m.goodSince.IsZero()
-	return m.seats > 0 || m.probeOnce || failing || returning
+	return pulls && m.seats > 0 || m.probeOnce || failing || returning
 }
 
 // probe picks the next few members in turn.
@@ -68,7 +70,7 @@
 	return PullRequest{
 		ID:       f.nextID,
 		From:     f.heartbeat(now),
-		Shards:   f.ownShards(),
+		Shards:   f.membership.own,
 		Releases: f.releases(holder, now),
 	}
 }
@@ -117,17 +119,6 @@
 	}
 }
 
-// ownShards are the shards that this instance is home of.
-func (f *Fleet) ownShards() Bitmap {
-	var own Bitmap
-	for s := range ShardCount {
-		if f.membership.home(Shard(s)) == f.config.Self.Name {
-			own.Set(Shard(s))
-		}
-	}
-	return own
-}
-
 // handOver gives up the shards that have authority here and a home elsewhere.
 func (f *Fleet) handOver(now time.Time) []Handover {
 	var out []Handover
@@ -162,7 +153,7 @@
 // releases are the handovers as one holder must hear of them.
 func (f *Fleet) releases(holder string, now time.Time) []Release {
 	f.dropHandovers(now)
-	own := f.ownShards()
+	own := f.membership.own
 	var releases []Release
 	for _, h := range f.handovers {
 		r := h.release
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -248,7 +248,8 @@
 	f.membership.observe(peer, ok, now)
 }
 
-// seeSessions takes members from the session rows, in case the list lags.
+// seeSessions takes members from the session rows, in case the list lags, and
+// who holds seats.
 func (f *Fleet) seeSessions() {
 	for _, m := range f.membership.members {
 		m.seated = false
@@ -260,6 +261,10 @@
 		in := store.Instance{Name: name, Address: w.row.Address, FailureDomain: w.row.FailureDomain}
 		f.membership.add(in).seated = true
 	}
+	holders := f.seats.Holders()
+	for _, m := range f.membership.members {
+		m.seats = holders[m.instance.Name]
+	}
 	f.membersStale = true
 }
 
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -23,6 +23,8 @@
 	byName     map[string]*member
 	domainsOut []string
 	homes      *homes
+	// own are the shards that this instance is home of.
+	own Bitmap
 	// platformHeard and peerHeard are zero until something was heard.
 	platformHeard time.Time
 	peerHeard     time.Time
@@ -158,6 +160,7 @@
 	}
 	if changed {
 		ms.homes = rendezvous(ms.members)
+		ms.own = ms.ownShards()
 	}
 	return changed
 }
@@ -195,6 +198,16 @@
 	return ""
 }
 
+func (ms *membership) ownShards() Bitmap {
+	var own Bitmap
+	for s := range ShardCount {
+		if ms.home(Shard(s)) == ms.self.Name {
+			own.Set(Shard(s))
+		}
+	}
+	return own
+}
+
 // isolatedAfter is when silence becomes isolation.
 func (ms *membership) isolatedAfter(timeout time.Duration) time.Time {
 	heard := maxTime(ms.platformHeard, ms.peerHeard)
--- /dev/null
+++ b/fleet/membership_test.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/store"
+)
+
+const testBeat = 500 * time.Millisecond
+
+func at(d time.Duration) time.Time { return time.Unix(0, 0).Add(d) }
+
+func newTestMembership() *membership {
+	ms := newMembership(store.Instance{Name: "a", FailureDomain: "x"}, testBeat, at(0))
+	ms.listInstances([]store.Instance{{Name: "b", FailureDomain: "x"}, {Name: "c", FailureDomain: "y"}}, at(0))
+	ms.observe("b", true, at(0))
+	ms.observe("c", true, at(0))
+	ms.refresh(at(0))
+	return ms
+}
+
+func (ms *membership) fitNames() string {
+	names := ""
+	for _, m := range ms.members {
+		if m.fit {
+			names += m.instance.Name
+		}
+	}
+	return names
+}
+
+func TestPeerThatFailsReturnsLater(t *testing.T) {
+	ms := newTestMembership()
+	tests := []struct {
+		at   time.Duration
+		ok   bool
+		want string
+	}{
+		{500 * time.Millisecond, false, "abc"},
+		{1000 * time.Millisecond, false, "abc"},
+		{1500 * time.Millisecond, false, "ac"},
+		{2000 * time.Millisecond, true, "ac"},
+		{2500 * time.Millisecond, false, "ac"},
+		{3000 * time.Millisecond, true, "ac"},
+		{4500 * time.Millisecond, true, "ac"},
+		{5000 * time.Millisecond, true, "abc"},
+	}
+	for _, test := range tests {
+		ms.observe("b", test.ok, at(test.at))
+		ms.refresh(at(test.at))
+		assert.Equal(t, ms.fitNames(), test.want, "at %v", test.at)
+	}
+}
+
+func TestUnfit(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(ms *membership)
+		want string
+	}{
+		{"failure domain out", func(ms *membership) { ms.domainsOut = []string{"x"} }, "c"},
+		{"peer says it leaves", func(ms *membership) {
+			ms.heartbeat(Heartbeat{Instance: store.Instance{Name: "b", Leaving: true}}, at(testBeat))
+		}, "ac"},
+		{"self drains", func(ms *membership) { ms.draining = true }, "bc"},
+		{"newcomer that was never reached", func(ms *membership) {
+			ms.started = at(-time.Minute)
+			ms.listInstances([]store.Instance{{Name: "b"}, {Name: "c"}, {Name: "d"}}, at(testBeat))
+		}, "abc"},
+		{"gone from the list and quiet", func(ms *membership) {
+			ms.listInstances([]store.Instance{{Name: "b"}}, at(testBeat))
+			ms.refresh(at(forgetAfter + testBeat))
+		}, "ab"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ms := newTestMembership()
+			test.do(ms)
+			ms.refresh(at(testBeat))
+			assert.Equal(t, ms.fitNames(), test.want)
+		})
+	}
+}
+
+func TestIsolation(t *testing.T) {
+	const timeout = 2 * time.Second
+	ms := newMembership(store.Instance{Name: "a"}, testBeat, at(0))
+	assert.Assert(t, !ms.isolatedAfter(timeout).After(at(0)), "a process that heard nothing is isolated")
+	ms.listInstances(nil, at(time.Second))
+	assert.Equal(t, ms.isolatedAfter(timeout), at(3*time.Second))
+	ms.heartbeat(Heartbeat{Instance: store.Instance{Name: "b"}}, at(9*time.Second))
+	assert.Equal(t, ms.isolatedAfter(timeout), at(11*time.Second), "a peer alone is enough")
+}
--- a/fleet/seats.go
+++ b/fleet/seats.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -511,7 +513,8 @@
 func (s *Seats) sweep(now time.Time) *change {
 	c := s.renewal()
 	holders := s.Holders()
-	for name, w := range s.sessions {
+	for _, name := range slices.Sorted(maps.Keys(s.sessions)) {
+		w := s.sessions[name]
 		if name != s.config.Self.Name && holders[name] == 0 && now.Sub(w.since) >= 2*s.config.SeatTTL {
 			c.fences(name, w.version)
 			return c
--- a/fleet/traffic.go
+++ b/fleet/traffic.go
@@ -9,6 +9,10 @@
 	tagBytes = 2
 	// idBytes is the size of a 64-bit number that is drawn at random.
 	idBytes = 9
+	// instanceBytes are the names of an instance's fields.
+	instanceBytes = 40
+	// bitmapBytes is the size of a set of shards with its tag.
+	bitmapBytes = BitmapBytes + 3
 	// numberBytes is the size of a small number with its tag.
 	numberBytes = 4
 )
@@ -32,18 +36,18 @@
 }
 
 // WireBytes returns what the request weighs on the wire as a message of a
-// stream, encoded as a protocol buffer, with the packet's headers.
+// stream, with the packet's headers.
 func (r PullRequest) WireBytes() int {
-	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + r.Shards.wireBytes()
+	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + bitmapBytes
 	for _, rel := range r.Releases {
-		n += tagBytes + idBytes + tagBytes + len(rel.To) + numberBytes + rel.Shards.wireBytes()
+		n += tagBytes + idBytes + tagBytes + len(rel.To) + numberBytes + bitmapBytes
 	}
 	return n
 }
 
 // WireBytes returns what the reply weighs on the wire.
 func (r PullReply) WireBytes() int {
-	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + r.Granted.wireBytes()
+	n := packetBytes + frameBytes + numberBytes + r.From.wireBytes() + bitmapBytes
 	if r.Seats > 0 {
 		n += 2 * numberBytes
 	}
@@ -54,7 +58,7 @@
 }
 
 func (h Heartbeat) wireBytes() int {
-	n := tagBytes + idBytes + numberBytes
+	n := tagBytes + idBytes + numberBytes + instanceBytes
 	n += tagBytes + len(h.Instance.Name) + tagBytes + len(h.Instance.Address)
 	n += tagBytes + len(h.Instance.FailureDomain)
 	for _, s := range h.Suspects {
@@ -62,11 +66,3 @@
 	}
 	return n
 }
-
-// wireBytes is the size of the shorter of the bitmap and a list.
-func (b *Bitmap) wireBytes() int {
-	if b.Empty() {
-		return 0
-	}
-	return tagBytes + min(BitmapBytes, b.Len())
-}
--- a/limit/handover.go
+++ b/limit/handover.go
@@ -1,8 +1,8 @@
 package limit
 
 import (
+	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/fleet"
@@ -17,7 +17,8 @@
 		l.Filled = st.filled - st.cuts[len(st.cuts)-1].filled
 		l.Teams = st.export()
 	}
-	for _, bucket := range st.teams {
+	for _, team := range st.names() {
+		bucket := st.teams[team]
 		b.move(bucket)
 		b.drop(bucket)
 	}
@@ -50,7 +51,7 @@
 	if l == nil || l.Handover == st.spent || st.share != fullShare || st.authority.Handover != l.Handover {
 		return
 	}
-	if b.share.Of(st.authority.HandedSeats) != fullShare || len(st.cuts) != 1 {
+	if b.share.Of(st.authority.HandedSeats) != fullShare || st.cuts[0].share != 0 {
 		return
 	}
 	st.pending = nil
@@ -71,12 +72,18 @@
 			have.receive(min(have.grant.Burst, have.grant.minted(l.Filled)), own)
 		}
 	}
-	// Untouched buckets fill as if the authority had been here all the time.
+	st.carry(l.Filled)
+}
+
+// carry makes untouched buckets fill as if the authority had been here all the
+// time, but for what was minted before the share was full.
+func (st *shardState) carry(filled int64) {
 	st.order++
 	for _, have := range st.teams {
 		have.order = st.order
 	}
-	st.cuts[0].filled -= l.Filled
+	last := st.cuts[len(st.cuts)-1]
+	st.cuts = append(st.cuts[:0], cut{filled: last.filled - filled, order: st.order})
 }
 
 // receive adds tokens on their way to a bucket that is up to date; own is what
@@ -86,14 +93,19 @@
 	b.level = min(b.level+min(max(tokens, 0), room), b.grant.Burst)
 }
 
+// names are the teams with a bucket, in order.
+func (st *shardState) names() []string {
+	return slices.Sorted(maps.Keys(st.teams))
+}
+
 // export lists the levels of the buckets that are not full.
 func (st *shardState) export() []TeamLevel {
 	levels := make([]TeamLevel, 0, len(st.teams))
-	for _, b := range st.teams {
+	for _, team := range st.names() {
+		b := st.teams[team]
 		b.touch()
 		levels = append(levels, TeamLevel{Team: b.team, Grant: b.grant, Level: b.level})
 	}
-	slices.SortFunc(levels, func(a, b TeamLevel) int { return strings.Compare(a.Team, b.Team) })
 	return levels
 }
 
