Count only calls turned away as wrongful refusals

Cause: a call whose outcome is unknown may have run; the bench took it for a wrongful refusal, and its callers asked ten times. Change: wrongful means refused as not run within the grant. A caller that has been told unknown twice goes on. Conclusion: the count now holds what its name says.

--- a/cmd/bench/attempt.go
+++ b/cmd/bench/attempt.go
@@ -68,6 +68,17 @@
 	return nil
 }
 
+// unknowns counts the answers that left open whether the call ran.
+func (c *callRecord) unknowns() int {
+	count := 0
+	for _, a := range c.attempts {
+		if a.outcome == outcomeRefused && a.refusal.runState == runStateUnknown {
+			count++
+		}
+	}
+	return count
+}
+
 // span returns when the call took its token, if it was answered.
 func (c *callRecord) span() (span, bool) {
 	whole := c.whole()
--- a/cmd/bench/runner.go
+++ b/cmd/bench/runner.go
@@ -13,7 +13,10 @@
 )
 
 const (
-	maxAttempts  = 10
+	maxAttempts = 10
+	// maxUnknowns is how often a caller is told that the outcome is unknown
+	// until it asks a person.
+	maxUnknowns  = 2
 	retryPause   = 50 * time.Millisecond
 	maxRetryWait = time.Second
 
@@ -155,7 +158,7 @@
 			r.ledger.giveBack(record.team, a.done)
 		}
 		r.ledger.addAttempt(record, a)
-		if !a.retryable() || !pause(ctx, a.retryWait()) {
+		if record.unknowns() >= maxUnknowns || !a.retryable() || !pause(ctx, a.retryWait()) {
 			return
 		}
 	}
--- a/cmd/bench/verdict.go
+++ b/cmd/bench/verdict.go
@@ -53,9 +53,11 @@
 	}
 }
 
+// wrongful says that the call was turned away although the team was within its
+// grant. One that ran, or may have run, was not turned away.
 func (a attempt) wrongful() bool {
 	limited := a.refusal.status == http.StatusTooManyRequests || a.refusal.status >= http.StatusInternalServerError
-	return limited && a.within && !codesNotWrongful[a.refusal.code]
+	return limited && a.within && a.refusal.runState == runStateNotRun && !codesNotWrongful[a.refusal.code]
 }
 
 // ranDuring says whether the call began to run between the attempt and the next.
--- a/cmd/bench/verdict_test.go
+++ b/cmd/bench/verdict_test.go
@@ -62,7 +62,7 @@
 		{
 			name:     "unknown of a call that ran",
 			kind:     stepPlain,
-			attempts: []attempt{refused(http.StatusBadGateway, runStateUnknown, false)},
+			attempts: []attempt{refused(http.StatusBadGateway, runStateUnknown, true)},
 			runs:     []run{{at: testTime(1)}},
 			want:     result{Refusals: 1, OutcomesUnknown: 1},
 		},
