Carry a call's attempts to the next controller

Cause: a service's new home did not know the attempts that a call had made under the one before: its numbers began at one again, and a call that may not be repeated could pass for one that had not begun. A stream that lacked only its end mark counted as broken. Change: the call carries its attempts and whether one may have run; decisions that answer an older message are answered by reporting the last attempt again.

--- a/calls/model.go
+++ b/calls/model.go
@@ -124,6 +124,7 @@
 		begun bool
 		// delivered is the number of chunks that the sink has taken.
 		delivered int
+		tries     tries
 	}
 )
 
@@ -340,10 +341,15 @@
 			r.pools.Cancel(r.service.Name, r.call.Attempt)
 			return refuseUnavailable(state, "no upstream was found in time")
 		}
+		if r.tries.isStale(decision) {
+			r.pools.Done(context.WithoutCancel(ctx), r.service.Name, r.tries.last)
+			continue
+		}
 		if decision.Refuse != nil {
 			return refuseRoute(decision.Refuse)
 		}
 		report, refusal := r.attempt(ctx, *decision.Assign)
+		r.tries.add(report)
 		r.pools.Done(context.WithoutCancel(ctx), r.service.Name, report)
 		if report.Outcome == route.OutcomeCompleted {
 			return nil
@@ -370,6 +376,8 @@
 		Repeatable:      true,
 		Fingerprint:     xxhash.Sum64String(r.call.Digest),
 		Deadline:        r.call.Deadline,
+		Attempts:        r.tries.last.Attempt,
+		Begun:           r.tries.begun,
 	}
 	if r.call.Program != "" {
 		call.Root = prog.RootOf(r.call.Program)
@@ -418,6 +426,10 @@
 	for resumes := 0; ; resumes++ {
 		if err == nil {
 			err = r.relay(stream, first)
+			if err != nil && stream.Finished() {
+				// Only the end mark is missing.
+				err = nil
+			}
 			_ = stream.Close()
 		}
 		if err == nil {
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -78,6 +78,7 @@
 		claim *prog.Claim
 		// upstream is the upstream that gave the answer.
 		upstream string
+		tries    tries
 	}
 )
 
@@ -267,6 +268,10 @@
 			r.pools.Cancel(r.call.Service.Name, r.call.Attempt)
 			return relay.PlainAnswer{}, refuseUnavailable(state, "no upstream was found in time")
 		}
+		if r.tries.isStale(decision) {
+			r.pools.Done(context.WithoutCancel(ctx), r.call.Service.Name, r.tries.last)
+			continue
+		}
 		if decision.Refuse != nil {
 			refusal := refuseRoute(decision.Refuse)
 			if state == Unknown {
@@ -275,6 +280,7 @@
 			return relay.PlainAnswer{}, refusal
 		}
 		answer, report, err := r.attempt(ctx, *decision.Assign)
+		r.tries.add(report)
 		r.pools.Done(context.WithoutCancel(ctx), r.call.Service.Name, report)
 		if err == nil {
 			r.upstream = report.Upstream
@@ -342,6 +348,8 @@
 		Repeatable:      r.call.Route.Repeatable,
 		Fingerprint:     xxhash.Sum64String(r.call.Method + r.call.Path + r.call.Digest),
 		Deadline:        r.call.Deadline,
+		Attempts:        r.tries.last.Attempt,
+		Begun:           r.tries.begun,
 	}
 	if r.call.Program != "" {
 		call.Program = r.call.Program
--- a/pools/message.go
+++ b/pools/message.go
@@ -41,6 +41,7 @@
 		Reason     string         `json:"reason"`
 		RunState   route.RunState `json:"runState"`
 		RetryAfter time.Duration  `json:"retryAfter"`
+		Attempts   int            `json:"attempts"`
 	}
 
 	// DoneMessage carries a report.
--- a/pools/reason.go
+++ b/pools/reason.go
@@ -13,11 +13,11 @@
 }
 
 func newRefuseReply(r *route.Refuse) *RefuseReply {
-	return &RefuseReply{Reason: r.Reason.Error(), RunState: r.RunState, RetryAfter: r.RetryAfter}
+	return &RefuseReply{Reason: r.Reason.Error(), RunState: r.RunState, RetryAfter: r.RetryAfter, Attempts: r.Attempts}
 }
 
 func (r *RefuseReply) refuse() *route.Refuse {
-	out := &route.Refuse{Reason: route.ErrNoUpstream, RunState: r.RunState, RetryAfter: r.RetryAfter}
+	out := &route.Refuse{Reason: route.ErrNoUpstream, RunState: r.RunState, RetryAfter: r.RetryAfter, Attempts: r.Attempts}
 	for _, reason := range reasons {
 		if reason.Error() == r.Reason {
 			out.Reason = reason
