Tell the homes that wait for a carried turn's end, and prove planned stops

Cause: while a shard moves, the new home asks the relaying instances which turns they run. A turn whose report the old home had just taken was still listed; the new home, which had read the program before the old home's commit, waited for its end until the call's deadline. A caller saw "the program's home did not answer" after 120 s in a rolling stop.

Change: an instance notes which homes it told of a turn and sends each of them the turn's end. A planned stop also waits for turns that no home has kept yet.

--- a/boot/life.go
+++ b/boot/life.go
@@ -41,7 +41,7 @@
 		n.common.Log.Warn("The platform was not told of the stop.", "error", err)
 	}
 	err := n.entry.Shutdown(ctx)
-	for err == nil && !n.member.Drained(ctx) {
+	for err == nil && !n.settled(ctx) {
 		if !wait(ctx, drainPoll) {
 			err = ctx.Err()
 		}
@@ -50,6 +50,12 @@
 	return errors.Trace(err)
 }
 
+// settled tells whether nothing is left that only this instance knows: shards,
+// and turns that no home has kept yet.
+func (n *Node) settled(ctx context.Context) bool {
+	return n.carrier.Len() == 0 && n.relayer.Len() == 0 && n.member.Drained(ctx)
+}
+
 // Close stops every part at once and waits for them.
 func (n *Node) Close() {
 	n.entry.Close()
--- a/progs/carrier.go
+++ b/progs/carrier.go
@@ -1,6 +1,7 @@
 package progs
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -8,29 +9,44 @@
 	"github.com/buckthorntide/buckthorntide/prog"
 )
 
-// Carrier remembers the turns that this instance runs for its callers, so that
-// a new home of their programs can learn of them. It is safe for concurrent
-// use.
-type Carrier struct {
-	mu    sync.Mutex
-	turns map[string]prog.Running
-}
+type (
+	// Carrier remembers the turns that this instance runs for its callers, so
+	// that a new home of their programs can learn of them. It is safe for
+	// concurrent use.
+	Carrier struct {
+		mu    sync.Mutex
+		turns map[string]*carried
+	}
+
+	// carried is one turn and the peer addresses of the homes that were told
+	// of it: each of them waits for the turn's end.
+	carried struct {
+		prog.Running
+		askers []string
+	}
+)
 
 // NewCarrier returns a carrier of no turns.
-func NewCarrier() *Carrier { return &Carrier{turns: make(map[string]prog.Running)} }
+func NewCarrier() *Carrier { return &Carrier{turns: make(map[string]*carried)} }
 
 // Add notes a turn that begins.
 func (c *Carrier) Add(r prog.Running) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.turns[r.Begin.Attempt] = r
+	c.turns[r.Begin.Attempt] = &carried{Running: r}
 }
 
-// Remove forgets a turn whose home has taken its report.
-func (c *Carrier) Remove(attempt string) {
+// Remove forgets a turn whose home has taken its report. It returns the peer
+// addresses of the homes that were told that the turn runs.
+func (c *Carrier) Remove(attempt string) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	turn, ok := c.turns[attempt]
+	if !ok {
+		return nil
+	}
 	delete(c.turns, attempt)
+	return turn.askers
 }
 
 // Len returns the number of turns.
@@ -40,15 +56,16 @@
 	return len(c.turns)
 }
 
-// List returns the turns of the shards.
-func (c *Carrier) List(shards fleet.Bitmap, now time.Time) []CarriedTurn {
+// List returns the turns of the shards and notes who asked.
+func (c *Carrier) List(q *CarriedRequest, now time.Time) []CarriedTurn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []CarriedTurn
 	for _, r := range c.turns {
-		if !shards.Has(fleet.Shard(prog.ShardOf(r.Begin.Program))) {
+		if !q.Shards.Has(fleet.Shard(prog.ShardOf(r.Begin.Program))) {
 			continue
 		}
+		r.addAsker(q.Asker)
 		out = append(out, CarriedTurn{
 			Begin:    newBeginMessage(r.Begin, now),
 			Turn:     r.Turn,
@@ -57,3 +74,9 @@
 	}
 	return out
 }
+
+func (c *carried) addAsker(address string) {
+	if !slices.Contains(c.askers, address) {
+		c.askers = append(c.askers, address)
+	}
+}
--- a/progs/client.go
+++ b/progs/client.go
@@ -9,6 +9,7 @@
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/homes"
+	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/prog"
 )
 
@@ -26,6 +27,7 @@
 	common  *common.Common
 	router  *homes.Router
 	carrier *Carrier
+	conns   *peer.Conns
 	group   *group.Group
 
 	openCall  homes.Call[prog.OpenRequest, prog.OpenReply]
@@ -40,6 +42,7 @@
 		common:  c.Part("progs"),
 		router:  router,
 		carrier: carrier,
+		conns:   home.conns,
 		group:   group.NewGroup(context.Background()),
 		openCall: homes.Call[prog.OpenRequest, prog.OpenReply]{
 			Method: Open,
@@ -98,13 +101,41 @@
 func (c *Client) End(ctx context.Context, q *prog.EndRequest) (*prog.EndReply, error) {
 	reply, err := c.endOnce(ctx, q)
 	if err == nil && isSettled(reply) {
-		c.carrier.Remove(q.Attempt)
+		c.settled(q)
 		return reply, nil
 	}
 	c.group.Go(func(ctx context.Context) { c.endLater(ctx, q) })
 	return reply, errors.Trace(err)
 }
 
+// settled forgets a turn and tells the homes that wait for its end: an earlier
+// home may have taken the report after the later one had read the program. It
+// is said twice, since the first may come before the home notes the turn.
+func (c *Client) settled(q *prog.EndRequest) {
+	for _, address := range c.carrier.Remove(q.Attempt) {
+		c.group.Go(func(ctx context.Context) {
+			for range 2 {
+				c.tellEnd(ctx, address, q)
+				if !pause(ctx, resendInterval) {
+					return
+				}
+			}
+		})
+	}
+}
+
+func (c *Client) tellEnd(ctx context.Context, address string, q *prog.EndRequest) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := c.conns.To(address)
+	if err == nil {
+		_, err = End.Call(ctx, conn, q)
+	}
+	if err != nil {
+		c.common.Log.Debug("A home was not told of a turn's end.", "program", q.Program, "error", err)
+	}
+}
+
 // leave ends a turn whose start may have been lost on its way here: the home
 // would else wait for its report until the call's deadline. It is said twice,
 // since the first may come before the home has noticed that the asker left.
@@ -154,7 +185,7 @@
 }
 
 func (c *Client) endLater(ctx context.Context, q *prog.EndRequest) {
-	defer c.carrier.Remove(q.Attempt)
+	defer c.settled(q)
 	for pause(ctx, resendInterval) {
 		reply, err := c.endOnce(ctx, q)
 		if err != nil {
--- a/progs/home.go
+++ b/progs/home.go
@@ -150,7 +150,7 @@
 }
 
 func (h *Home) askCarried(ctx context.Context, m fleet.Member, shards fleet.Bitmap) {
-	q := &CarriedRequest{Shards: shards}
+	q := &CarriedRequest{Shards: shards, Asker: h.viewer.View().Self.Address}
 	reply, err := h.callCarried(ctx, m, q)
 	if err != nil {
 		h.common.Log.Debug("An instance did not say what it carries.", "instance", m.Instance.Name, "error", err)
@@ -216,7 +216,7 @@
 }
 
 func (h *Home) carried(_ context.Context, q *CarriedRequest) (*CarriedReply, error) {
-	return &CarriedReply{Turns: h.carrier.List(q.Shards, h.common.Clock.Now())}, nil
+	return &CarriedReply{Turns: h.carrier.List(q, h.common.Clock.Now())}, nil
 }
 
 // ended answers also for programs of other homes: what this home does not
--- a/progs/message.go
+++ b/progs/message.go
@@ -47,6 +47,8 @@
 	// CarriedRequest asks for the running turns of some shards.
 	CarriedRequest struct {
 		Shards fleet.Bitmap `json:"shards"`
+		// Asker is the peer address that the ends of these turns are told to.
+		Asker string `json:"asker"`
 	}
 
 	// CarriedReply lists running turns.
--- a/trial/serve_balancer_test.go
+++ b/trial/serve_balancer_test.go
@@ -138,6 +138,8 @@
 }
 
 func (s *shop) program(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	talk := &conversation{}
 	err := s.balancer.do(func(client *caller.Client) error {
 		program, err := client.Open(ctx, "")
@@ -168,6 +170,7 @@
 	s.group.Wait()
 	s.group.Close()
 	if failure := s.failure.Load(); failure != nil {
+		c.logDumps()
 		c.t.Fatalf("a call failed: %v", *failure)
 	}
 }
