--- a/prog/core_test.go
+++ b/prog/core_test.go
@@ -247,6 +247,47 @@
 	assert.Equal(t, l.start(callOf("p-1", "c3")).Turn, 2)
 }
 
+func TestCarriedTurnIsForgottenAfterItsDeadline(t *testing.T) {
+	memory := store.NewMemory()
+	a := newLab(t, "a", memory)
+	a.open("p-1", testBudget, false)
+	a.mode = storeAway
+	first := a.turn("p-1", "c1")
+	b := newLab(t, "b", memory)
+	r := callOf("p-1", "c2")
+	b.do(b.core.Resume(Running{Begin: r, Turn: 2, Previous: newTurn(&first).digest}, b.now))
+	b.pass(b.core.options.CallTimeout + b.core.options.RunGrace)
+	assert.Assert(t, b.end(first).Kept)
+	assert.Equal(t, b.start(callOf("p-1", "c3")).Turn, 2)
+}
+
+func TestHomeLearnsOfLaterTurns(t *testing.T) {
+	cases := []struct {
+		name string
+		do   func(a, b *lab)
+	}{
+		{"from an expected turn", func(a, _ *lab) {
+			r := callOf("p-1", "c2")
+			r.ExpectedTurn = 2
+			assert.Equal(a.t, a.start(r).Turn, 2)
+		}},
+		{"from a report", func(a, b *lab) {
+			r := callOf("p-1", "c2")
+			assert.Assert(a.t, a.end(endOf(r, b.start(r), "answer")).Kept)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			memory := store.NewMemory()
+			a, b := newLab(t, "a", memory), newLab(t, "b", memory)
+			a.core.options.ChunkParts, b.core.options.ChunkParts = 8, 8
+			a.open("p-1", largeBudget, false)
+			b.turn("p-1", "c1")
+			c.do(a, b)
+		})
+	}
+}
+
 func TestDeadRelayGivesItsTurnBack(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
@@ -316,6 +357,25 @@
 	}
 }
 
+func TestDumpShowsWhatWaits(t *testing.T) {
+	l := newLab(t, "a", store.NewMemory())
+	l.open("p-1", testBudget, false)
+	l.open("p-2", testBudget, false)
+	l.mode = storeAway
+	l.turn("p-1", "c1")
+	l.start(callOf("p-1", "c2"))
+	l.begin(callOf("p-1", "c3"))
+	l.core.Hold(7)
+	d := l.core.Dump("p-1", 5)
+	assert.Equal(t, len(d.Programs), 1)
+	assert.DeepEqual(t, d.Programs[0].Agents, []AgentDump{{
+		Program: "p-1", Turns: 1, Unkept: 1, Queued: 1, RunningCall: "c2", Relay: "relay", Engines: []string{"engine-1"},
+	}})
+	assert.DeepEqual(t, d.HeldShards, []int{7})
+	d.Programs, d.HeldShards, d.Stats = nil, nil, Stats{}
+	assert.DeepEqual(t, *d, Dump{Families: 2, Running: 1, Queued: 1, Unkept: 1})
+}
+
 func TestReportAfterTheEndReleasesItsEngine(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
--- /dev/null
+++ b/prog/dump.go
@@ -0,0 +1,131 @@
+package prog
+
+import (
+	"slices"
+	"strings"
+)
+
+type (
+	// Dump is the state of a Core for operators.
+	Dump struct {
+		Stats Stats `json:"stats"`
+		// Families, Running, Queued and Unkept are counts over all families.
+		Families int `json:"families"`
+		Running  int `json:"running"`
+		Queued   int `json:"queued"`
+		// Unkept is the number of turns that are not surely in the table.
+		Unkept int `json:"unkept"`
+		// HeldShards are the shards whose turns wait for what other instances
+		// carry.
+		HeldShards []int `json:"heldShards,omitempty"`
+		// Programs are the first families of those asked for, by id.
+		Programs []FamilyDump `json:"programs,omitempty"`
+	}
+
+	// FamilyDump is one family in memory.
+	FamilyDump struct {
+		Program string `json:"program"`
+		Team    string `json:"team"`
+		// State is loading, ready, stale, leaving or ended.
+		State string `json:"state"`
+		// Unsure says that the outcome of the last commit is not known.
+		Unsure  bool        `json:"unsure,omitempty"`
+		Version int64       `json:"version"`
+		Total   Usage       `json:"total"`
+		Spent   Usage       `json:"spent"`
+		Held    Usage       `json:"held"`
+		Dead    Usage       `json:"dead"`
+		Mark    Usage       `json:"mark"`
+		Agents  []AgentDump `json:"agents,omitempty"`
+	}
+
+	// AgentDump is one program of a family.
+	AgentDump struct {
+		Program string `json:"program"`
+		Turns   int    `json:"turns"`
+		Unkept  int    `json:"unkept,omitempty"`
+		Queued  int    `json:"queued,omitempty"`
+		// RunningCall and Relay tell which call has the turn, and where.
+		RunningCall string   `json:"runningCall,omitempty"`
+		Relay       string   `json:"relay,omitempty"`
+		Engines     []string `json:"engines,omitempty"`
+		Ended       bool     `json:"ended,omitempty"`
+	}
+)
+
+// Dump returns the counts, and up to limit families whose id has the prefix.
+func (c *Core) Dump(prefix string, limit int) *Dump {
+	d := &Dump{Stats: c.stats, Families: c.families.Len()}
+	for shard := range c.held {
+		d.HeldShards = append(d.HeldShards, shard)
+	}
+	slices.Sort(d.HeldShards)
+	for _, root := range c.families.Keys(strings.Compare) {
+		f := c.families.Get(root)
+		d.count(f)
+		if strings.HasPrefix(root, prefix) && len(d.Programs) < limit {
+			d.Programs = append(d.Programs, f.dump())
+		}
+	}
+	return d
+}
+
+func (d *Dump) count(f *family) {
+	for _, a := range f.agents {
+		d.Queued += len(a.queue)
+		d.Unkept += len(a.pendingTurns())
+		if a.running != nil {
+			d.Running++
+		}
+	}
+}
+
+func (f *family) dump() FamilyDump {
+	d := FamilyDump{
+		Program: f.root,
+		Team:    f.team,
+		State:   f.state(),
+		Unsure:  f.unsure,
+		Version: f.version,
+		Total:   f.ledger.Total(),
+		Spent:   f.ledger.Spent,
+		Held:    f.ledger.Held,
+		Dead:    f.ledger.Dead,
+		Mark:    f.ledger.Mark,
+	}
+	for _, a := range f.agents {
+		d.Agents = append(d.Agents, a.dump())
+	}
+	return d
+}
+
+func (f *family) state() string {
+	switch {
+	case f.leaving:
+		return "leaving"
+	case f.phase == phaseLoading:
+		return "loading"
+	case f.phase == phaseStale:
+		return "stale"
+	case f.ended:
+		return "ended"
+	default:
+		return "ready"
+	}
+}
+
+func (a *agent) dump() AgentDump {
+	d := AgentDump{
+		Program: a.program,
+		Turns:   len(a.turns),
+		Unkept:  len(a.pendingTurns()),
+		Queued:  len(a.queue),
+		Engines: slices.Clone(a.engines),
+		Ended:   a.ended,
+	}
+	if a.running != nil {
+		d.RunningCall = a.running.request.CallID
+		d.Relay = a.running.request.Relay
+	}
+	return d
+}
--- a/prog/keeper.go
+++ b/prog/keeper.go
@@ -158,6 +158,14 @@
 	return nil
 }
 
+// Dump returns the state for operators: counts, and up to limit families whose
+// id has the prefix.
+func (k *Keeper) Dump(prefix string, limit int) *Dump {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.core.Dump(prefix, limit)
+}
+
 // Close cancels what is on its way to the store and waits for it.
 func (k *Keeper) Close() { k.group.Close() }
 
--- a/prog/keeper_test.go
+++ b/prog/keeper_test.go
@@ -17,6 +17,8 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
+const maxTries = 200_000
+
 func newTestKeeper(t *testing.T, fake *store.Fake, instance string) *Keeper {
 	t.Helper()
 	k := NewKeeper(context.Background(), KeeperOptions{
@@ -67,7 +69,7 @@
 // converse makes five calls, each at either keeper, until each is kept.
 func converse(ctx context.Context, t *testing.T, keepers []*Keeper, root string, i int) {
 	open := OpenRequest{Program: root, Team: "team"}
-	until(func() bool {
+	until(t, func() bool {
 		reply, err := keepers[i%2].Open(ctx, open)
 		open.Resent = true
 		return err == nil && reply.Kept
@@ -77,15 +79,18 @@
 		r := callOf(root, fmt.Sprint("call", n))
 		r.ExpectedTurn = n + 1
 		var start *Start
-		until(func() bool {
+		until(t, func() bool {
 			reply, err := k.Begin(ctx, r)
 			if err == nil {
 				start = reply.Start
 			}
 			return start != nil
 		})
+		if start == nil {
+			return
+		}
 		end := endOf(r, start, fmt.Sprint("answer ", n))
-		until(func() bool {
+		until(t, func() bool {
 			reply, err := k.End(ctx, end)
 			assert.Check(t, err != nil || !reply.Superseded)
 			return err == nil && reply.Kept
@@ -93,8 +98,13 @@
 	}
 }
 
-func until(done func() bool) {
-	for !done() {
+// until tries again and again, but not for ever.
+func until(t *testing.T, done func() bool) {
+	for tries := 0; !done(); tries++ {
+		if tries == maxTries {
+			t.Error("tried too often")
+			return
+		}
 		runtime.Gosched()
 	}
 }
--- a/prog/restore.go
+++ b/prog/restore.go
@@ -83,11 +83,10 @@
 	if row.Program != a.program || row.Turn != number || row.Previous != a.head() {
 		return nil, errors.Annotatef(ErrChain, "turn %d of %q", number, a.program)
 	}
-	encoded := []byte(row.Body)
+	body := row.Body
 	if row.Object != "" {
-		encoded = bodies[row.Object]
+		body, err = DecodeBody(bodies[row.Object], row.BodyDigest)
 	}
-	body, err := DecodeBody(encoded, row.BodyDigest)
 	if err != nil {
 		return nil, err
 	}
--- a/prog/row.go
+++ b/prog/row.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
@@ -61,11 +62,11 @@
 		PromptTokens  int64  `json:"promptTokens"`
 		AnswerTokens  int64  `json:"answerTokens"`
 		Engine        string `json:"engine,omitempty"`
-		// Body is the turn's messages, unless Object names an object with
-		// them.
-		Body       json.RawMessage `json:"body,omitempty"`
-		Object     string          `json:"object,omitempty"`
-		BodyDigest string          `json:"bodyDigest"`
+		// Body holds the turn's messages, unless Object names an object with
+		// them, which has the digest BodyDigest.
+		Body       *TurnBody `json:"body,omitempty"`
+		Object     string    `json:"object,omitempty"`
+		BodyDigest string    `json:"bodyDigest,omitempty"`
 	}
 
 	// TurnBody is what a turn adds to a conversation.
@@ -134,10 +135,22 @@
 	if !ValidRoot(RootOf(row.Program)) || row.Turn < 1 {
 		return nil, errors.Annotate(ErrRow, "turn without a program")
 	}
+	if (row.Body == nil) == (row.Object == "") {
+		return nil, errors.Annotate(ErrRow, "turn without a body, or with two")
+	}
 	return &row, nil
 }
 
-// DecodeBody reads a turn's body and checks it against its digest.
+// size returns about how many bytes the body takes in a row.
+func (b *TurnBody) size() int {
+	size := len(b.Answer.Body)
+	for _, m := range b.Messages {
+		size += len(m.Body)
+	}
+	return base64.StdEncoding.EncodedLen(size)
+}
+
+// DecodeBody reads a body from an object and checks it against its digest.
 func DecodeBody(body []byte, digest string) (*TurnBody, error) {
 	if digestOf(body) != digest {
 		return nil, errors.Annotate(ErrChain, "body has another digest")
--- a/prog/turn.go
+++ b/prog/turn.go
@@ -1,7 +1,5 @@
 package prog
 
-import "encoding/json"
-
 // turn is one completed call in memory.
 type turn struct {
 	callID        string
@@ -29,7 +27,7 @@
 // newTurn builds a turn from a report. Its row depends on nothing but the
 // report, so that every home builds the same.
 func newTurn(r *EndRequest) *turn {
-	body := mustEncode(&TurnBody{Messages: r.NewMessages, Answer: r.Answer})
+	body := &TurnBody{Messages: r.NewMessages, Answer: r.Answer}
 	row := TurnRow{
 		Program:       r.Program,
 		Turn:          r.Turn,
@@ -42,17 +40,18 @@
 		PromptTokens:  r.PromptTokens,
 		AnswerTokens:  r.AnswerTokens,
 		Engine:        r.Engine,
-		BodyDigest:    digestOf(body),
 	}
 	p := &pendingTurn{key: TurnKey(r.Program, r.Turn), previous: r.Previous}
-	if len(body) > maxInlineBytes {
+	if body.size() > maxInlineBytes {
+		encoded := mustEncode(body)
+		row.BodyDigest = digestOf(encoded)
 		row.Object = p.key + "-" + row.BodyDigest
-		p.object = &Object{Name: row.Object, Body: body}
+		p.object = &Object{Name: row.Object, Body: encoded}
 	} else {
-		row.Body = json.RawMessage(body)
+		row.Body = body
 	}
 	p.value = mustEncode(&row)
-	t := turnOf(&row, &TurnBody{Messages: r.NewMessages, Answer: r.Answer})
+	t := turnOf(&row, body)
 	t.digest = digestOf(p.value)
 	t.pending = p
 	return t
