--- /dev/null
+++ b/relay/plain_test.go
@@ -0,0 +1,83 @@
+package relay_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/relay"
+)
+
+// TestCall tells a request that surely was not sent from one that may have run.
+func TestCall(t *testing.T) {
+	answers := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusTeapot)
+	}))
+	defer answers.Close()
+	cuts := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer cuts.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	tests := []struct {
+		name   string
+		server *httptest.Server
+		want   error
+	}{
+		{"answered", answers, nil},
+		{"cut", cuts, relay.ErrBroken},
+		{"gone", gone, relay.ErrNotSent},
+	}
+	for _, tt := range tests {
+		for _, repeatable := range []bool{true, false} {
+			t.Run(tt.name, func(t *testing.T) {
+				plain := relay.NewPlain()
+				defer plain.Close()
+				answer, err := plain.Call(t.Context(), relay.PlainRequest{
+					Address:    strings.TrimPrefix(tt.server.URL, "http://"),
+					Method:     http.MethodPost,
+					Path:       "/reserve",
+					Repeatable: repeatable,
+				})
+				if tt.want != nil {
+					assert.Assert(t, errors.Is(err, tt.want), "%v", err)
+					return
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Status, http.StatusTeapot)
+			})
+		}
+	}
+}
+
+// TestCallIsSentOnce counts what reaches an upstream that drops each idle
+// connection: the HTTP library must not send a call again by itself.
+func TestCallIsSentOnce(t *testing.T) {
+	var runs atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if runs.Add(1) > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	plain := relay.NewPlain()
+	defer plain.Close()
+	q := relay.PlainRequest{
+		Address:    strings.TrimPrefix(server.URL, "http://"),
+		Method:     http.MethodPost,
+		Path:       "/reserve",
+		Header:     http.Header{"Idempotency-Key": {"one"}},
+		Repeatable: true,
+	}
+	_, err := plain.Call(t.Context(), q)
+	assert.NilError(t, err)
+	_, err = plain.Call(t.Context(), q)
+	assert.Assert(t, errors.Is(err, relay.ErrBroken), "%v", err)
+	assert.Equal(t, runs.Load(), int64(2))
+}
