Let the committer tell that the platform is unreachable

Change: Committer.Unreachable says that the last write got no answer. Figures: go test -race ./store passes; with the flag never set the new test fails. Conclusion: the programs' home can answer at once while this is so.

--- a/store/committer.go
+++ b/store/committer.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,6 +73,8 @@
 		config CommitterConfig
 		group  *group.Group
 		marker marker
+		// failing says that the last write got no answer.
+		failing atomic.Bool
 
 		mu       sync.Mutex
 		queue    []*Pending
@@ -167,6 +170,10 @@
 	c.wakeIdle()
 }
 
+// Unreachable says that the last write got no answer from the platform, so that
+// a transaction submitted now is likely to wait.
+func (c *Committer) Unreachable() bool { return c.failing.Load() }
+
 // Stats returns the counts so far.
 func (c *Committer) Stats() CommitterStats {
 	c.mu.Lock()
--- a/store/committer_test.go
+++ b/store/committer_test.go
@@ -262,3 +262,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(rows), 0)
 }
+
+func TestCommitterTellsThatThePlatformIsUnreachable(t *testing.T) {
+	for _, fault := range []store.Fault{store.FaultUnavailable, store.FaultUnknown} {
+		t.Run(string(fault), func(t *testing.T) {
+			fake := store.NewFake()
+			committer := newMarkedCommitter(t, fake, "marker/")
+			assert.Assert(t, !committer.Unreachable())
+			fake.SetFault(fault)
+			pending, err := committer.Submit(put("", "a", "1", 0))
+			assert.NilError(t, err)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if committer.Unreachable() {
+					return poll.Success()
+				}
+				return poll.Continue("still taken for reachable")
+			}, poll.WithDelay(time.Millisecond))
+			fake.SetFault(store.FaultNone)
+			<-pending.Done()
+			assert.NilError(t, pending.Outcome().Err)
+			assert.Assert(t, !committer.Unreachable())
+		})
+	}
+}
--- a/store/committerbatch.go
+++ b/store/committerbatch.go
@@ -53,7 +53,9 @@
 	c.mu.Lock()
 	c.stats.Writes++
 	c.mu.Unlock()
-	return c.table.Commit(ctx, txn)
+	version, err := c.table.Commit(ctx, txn)
+	c.failing.Store(err != nil && !errors.Is(err, ErrConflict))
+	return version, err
 }
 
 // settleBatch finds out what became of a transaction whose answer was lost. It
