--- a/prog/core_test.go
+++ b/prog/core_test.go
@@ -95,6 +95,19 @@
 	assert.Assert(t, l.replies[l.ticket].Begin.Start != nil)
 }
 
+func TestCallBeyondTheMarkIsRefusedWhileTheStoreIsAway(t *testing.T) {
+	l := newLab(t, "a", store.NewMemory())
+	l.open("p-1", testBudget, false)
+	l.mode = storeAway
+	assert.Equal(t, l.spend("p-1", "below the mark"), 4)
+	l.pass(l.core.options.CallTimeout)
+	refusal := l.replies[l.ticket].Begin.Refusal
+	assert.DeepEqual(t, *refusal, Refusal{Reason: ReasonStore, RunState: NotRun, Retryable: true})
+	l.mode = storeUp
+	l.pass(l.core.options.RetryInterval)
+	assert.Equal(t, l.spend("p-1", "beyond it"), 4)
+}
+
 func TestLostAnswerCostsNoBudget(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
--- a/prog/corebegin.go
+++ b/prog/corebegin.go
@@ -139,7 +139,7 @@
 	switch {
 	case reason != "":
 	case !now.Before(e.request.Deadline):
-		reason = ReasonDeadline
+		reason = f.lateReason(a)
 	case e.request.ExpectedTurn != 0 && e.request.ExpectedTurn != a.next():
 		reason = ReasonTurn
 	default:
@@ -152,6 +152,14 @@
 	return true
 }
 
+// lateReason is why a program's first waiting call has not started.
+func (f *family) lateReason(a *agent) Reason {
+	if a.running == nil && (f.need != Usage{} || f.flight != nil) {
+		return ReasonStore // it waits for the mark
+	}
+	return ReasonDeadline
+}
+
 func (c *Core) start(f *family, a *agent, e *entry, want Usage, now time.Time) {
 	f.ledger.Reserve(want)
 	f.touched = now
--- a/prog/coretick.go
+++ b/prog/coretick.go
@@ -99,7 +99,7 @@
 	}
 	position := 0
 	a.queue = slices.DeleteFunc(a.queue, func(e *entry) bool {
-		gone := c.expireEntry(e, position, now)
+		gone := c.expireEntry(e, position, f.lateReason(a), now)
 		if !gone {
 			position++
 		}
@@ -114,9 +114,9 @@
 
 // expireEntry answers a queued call whose time has come and reports whether
 // its place is given up.
-func (c *Core) expireEntry(e *entry, position int, now time.Time) bool {
+func (c *Core) expireEntry(e *entry, position int, late Reason, now time.Time) bool {
 	if !now.Before(e.request.Deadline) {
-		c.refuseBegin(e.ticket, ReasonDeadline)
+		c.refuseBegin(e.ticket, late)
 		return true
 	}
 	if now.Before(e.until) {
--- a/prog/intents.go
+++ b/prog/intents.go
@@ -92,12 +92,7 @@
 	body := mustEncode(&answer)
 	row.ObjectDigest = digestOf(body)
 	row.Object = c.RowKey + "-" + row.ObjectDigest
-	if err := i.objects.PutObject(ctx, row.Object, body); err != nil {
-		i.common.Log.Warn("Cannot put the answer.", "key", c.RowKey, "error", err)
-		row.State = IntentUnknown
-		row.Object = ""
-	}
-	return i.settle(ctx, c, row)
+	return i.settle(ctx, c, row, Object{Name: row.Object, Body: body})
 }
 
 // SettleNotRun records that the call surely was not dispatched: not a byte of
@@ -166,8 +161,9 @@
 	}
 }
 
-func (i *Intents) settle(ctx context.Context, c *Claim, row IntentRow) bool {
+func (i *Intents) settle(ctx context.Context, c *Claim, row IntentRow, objects ...Object) bool {
 	s, step := newSettling(*c, row)
+	s.objects = objects
 	if i.drive(ctx, s, step) {
 		return true
 	}
@@ -178,6 +174,9 @@
 // drive takes a settlement as far as the store lets it and reports whether it
 // is done.
 func (i *Intents) drive(ctx context.Context, s *settling, step settleStep) bool {
+	if !i.putObjects(ctx, s) {
+		return false
+	}
 	for {
 		switch {
 		case step.commit != nil:
@@ -191,6 +190,18 @@
 	}
 }
 
+// putObjects puts what the row refers to, before the row.
+func (i *Intents) putObjects(ctx context.Context, s *settling) bool {
+	for _, o := range s.objects {
+		if err := i.objects.PutObject(ctx, o.Name, o.Body); err != nil {
+			i.common.Log.Warn("Cannot put the answer.", "key", s.claim.RowKey, "error", err)
+			return false
+		}
+	}
+	s.objects = nil
+	return true
+}
+
 func (i *Intents) postpone(s *settling) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/prog/intentsdriver_test.go
+++ b/prog/intentsdriver_test.go
@@ -126,6 +126,18 @@
 	assert.NilError(t, fake.Verify())
 }
 
+func TestLargeAnswerIsStoredOnceTheObjectsAreBack(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	i := newTestIntents(fake, "a")
+	claim := i.Claim(ctx, depositOf("key")).Run
+	fake.Expect(store.FakeCall{Operation: store.OpPutObject, Fault: store.FaultUnavailable})
+	answer := CallAnswer{Status: 200, Body: make([]byte, maxInlineBytes+1)}
+	assert.Assert(t, !i.Settle(ctx, claim, answer))
+	i.Sweep(ctx)
+	assert.DeepEqual(t, *i.Claim(ctx, depositOf("key")).Replay, answer)
+}
+
 func TestAnswerIsStoredOnceTheStoreIsBack(t *testing.T) {
 	ctx := context.Background()
 	fake := store.NewFake()
--- a/prog/settling.go
+++ b/prog/settling.go
@@ -14,7 +14,9 @@
 	settling struct {
 		claim Claim
 		row   IntentRow
-		count int
+		// objects are put before the row.
+		objects []Object
+		count   int
 	}
 
 	// settleStep is what a settlement wants done next; none set means that
