Keep serving while the platform hangs, with fewer questions to peers

Cause: a poll that hangs says nothing for two seconds, by when the keys are no longer fresh, so every call was cut; only three of eleven peers were asked, fewer than the half that must answer in place of the platform. Change: the platform counts as not reachable when its answer is a quarter of a second late; from that moment all peers are asked. While it answers, one peer is asked a round in place of three.

--- a/spread/message.go
+++ b/spread/message.go
@@ -30,7 +30,8 @@
 		Admins   keys.PeerState `cbor:"4,keyasint"`
 	}
 
-	// PushMessage carries what has just been accepted; either may be nil.
+	// PushMessage carries what has just been accepted: a text or a change of a
+	// key. The other is nil.
 	PushMessage struct {
 		Instance string       `json:"instance"`
 		Head     *conf.Head   `json:"head,omitempty"`
@@ -40,7 +41,8 @@
 
 	// PushReply acknowledges a PushMessage.
 	PushReply struct {
-		// Revision is the receiver's revision of the keys after a change.
+		// Revision is the receiver's revision of the text, or of the keys of the
+		// kind, after the push.
 		Revision int64 `json:"revision"`
 	}
 
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -11,23 +11,33 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
-// followPeers asks a few peers in each round what they know, and all of them
-// while the table service is not heard: then half of the fleet must answer.
+// followPeers asks one peer in each round what it knows, and all of them while
+// the table service is not heard: then half of the fleet must answer. It looks
+// often whether the table service has fallen silent, since keys stay fresh for
+// little longer than the time between two polls.
 func (s *Spread) followPeers(ctx context.Context) {
-	interval := time.Duration(s.common.Settings.HeartbeatInterval)
-	for {
-		peers := s.peers()
-		s.want(ctx, len(peers)+1)
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		if s.StoreReachable() {
-			peers = peers[:min(len(peers), syncPeers)]
-		}
-		for _, p := range peers {
-			s.group.Go(func(ctx context.Context) { s.syncWith(ctx, p) })
-		}
-		if !pause(ctx, interval) {
-			return
+	var due time.Time
+	wasReachable := false
+	for pause(ctx, checkInterval) {
+		now := s.common.Clock.Now()
+		reachable := s.StoreReachable()
+		if now.Before(due) && reachable == wasReachable {
+			continue
 		}
+		due, wasReachable = now.Add(syncInterval), reachable
+		s.syncRound(ctx, reachable)
+	}
+}
+
+func (s *Spread) syncRound(ctx context.Context, reachable bool) {
+	peers := s.peers()
+	s.want(ctx, len(peers)+1)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	if reachable {
+		peers = peers[:min(len(peers), syncPeers)]
+	}
+	for _, p := range peers {
+		s.group.Go(func(ctx context.Context) { s.syncWith(ctx, p) })
 	}
 }
 
@@ -161,10 +171,10 @@
 	}
 }
 
-// push sends a change to every peer; who misses it learns it by Sync or from
-// the table service. Each peer's reply is handed to heard, which may be nil.
-func (s *Spread) push(q *PushMessage, heard func(instance string, reply *PushReply)) {
-	for _, p := range s.peers() {
+// push sends a change to the peers; who misses it learns it by Sync or from
+// the table service. Each peer's reply is handed to heard.
+func (s *Spread) push(peers []store.Instance, q *PushMessage, heard func(instance string, reply *PushReply)) {
+	for _, p := range peers {
 		s.group.Go(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 			defer cancel()
@@ -173,9 +183,7 @@
 				s.common.Log.Debug("A push was lost.", "instance", p.Name, "error", err)
 				return
 			}
-			if heard != nil {
-				heard(p.Name, reply)
-			}
+			heard(p.Name, reply)
 		})
 	}
 }
@@ -213,6 +221,7 @@
 	err := s.thread.Do(ctx, func(now time.Time) {
 		if q.Head != nil {
 			s.learnHead(*q.Head, q.Instance, now)
+			reply.Revision = s.ledger.Head().Revision
 		}
 		if q.Change != nil {
 			s.cut(s.sets[q.Kind].Push(*q.Change))
--- a/spread/poll.go
+++ b/spread/poll.go
@@ -18,8 +18,7 @@
 		if err := s.poll(ctx); err != nil && ctx.Err() == nil {
 			s.common.Log.Debug("Polling the table service failed.", "error", err)
 		}
-		members := len(s.viewer.View().Members)
-		if !pause(ctx, pollInterval+time.Duration(members)*pollShare) {
+		if !pause(ctx, s.pollPause()) {
 			return
 		}
 	}
@@ -124,11 +123,11 @@
 // get reads a row, of version zero where it is absent.
 func (s *Spread) get(ctx context.Context, key string) (store.Row, error) {
 	row, err := s.table.Get(ctx, key)
-	reachable := err == nil || errors.Is(err, store.ErrNotFound)
-	s.storeReachable.Store(reachable)
-	if !reachable {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return store.Row{}, errors.Trace(err)
 	}
+	now := s.common.Clock.Now()
+	s.storeHeard.Store(&now)
 	s.viewer.PlatformHeard(ctx)
 	if err != nil {
 		return store.Row{Key: key}, nil
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -21,8 +21,15 @@
 	// pollShare is what each instance adds to that time, so that the polls of
 	// a large fleet stay within the table service's reads.
 	pollShare = 10 * time.Millisecond
+	// pollSlack is how much later than due a poll's answer may come before the
+	// table service counts as not reachable.
+	pollSlack = 250 * time.Millisecond
+	// checkInterval is the time between two looks whether it is reachable.
+	checkInterval = 100 * time.Millisecond
+	// syncInterval is the time between two rounds of questions to peers.
+	syncInterval = 500 * time.Millisecond
 	// syncPeers is how many peers are asked in one round.
-	syncPeers = 3
+	syncPeers = 1
 	// syncTimeout bounds one message to a peer.
 	syncTimeout = time.Second
 	// pageSize is how many keys one page holds.
@@ -62,9 +69,8 @@
 		text  atomic.Pointer[conf.Text]
 		stamp atomic.Pointer[conf.Stamp]
 		ready atomic.Bool
-		// storeReachable says that the last question to the table service was
-		// answered.
-		storeReachable atomic.Bool
+		// storeHeard is when the table service last answered.
+		storeHeard atomic.Pointer[time.Time]
 		// wasFresh belongs to the control thread.
 		wasFresh bool
 	}
@@ -141,8 +147,16 @@
 	return s.sets[keys.CallerKind].Fresh(s.common.Clock.Now())
 }
 
-// StoreReachable tells whether the table service answered the last question.
-func (s *Spread) StoreReachable() bool { return s.storeReachable.Load() }
+// StoreReachable tells whether the table service answered when it was due.
+func (s *Spread) StoreReachable() bool {
+	heard := s.storeHeard.Load()
+	return heard != nil && s.common.Clock.Now().Sub(*heard) < s.pollPause()+pollSlack
+}
+
+// pollPause is the time between two polls of the table service.
+func (s *Spread) pollPause() time.Duration {
+	return pollInterval + time.Duration(len(s.viewer.View().Members))*pollShare
+}
 
 // Keys returns the keys of one kind, for checks.
 func (s *Spread) Keys(kind keys.Kind) *keys.Keys { return s.sets[kind] }
@@ -165,11 +179,19 @@
 }
 
 // Accepted brings an edit of this instance's operators into force here and
-// pushes it to every peer.
+// pushes it to every peer. Like KeyChanged it waits for a majority: the text
+// then outlives this instance, also while the table service is down.
 func (s *Spread) Accepted(ctx context.Context, head conf.Head) error {
 	err := s.thread.Do(ctx, func(now time.Time) { s.learnHead(head, conf.FromStore, now) })
-	s.push(&PushMessage{Instance: s.self, Head: &head}, nil)
-	return err
+	acks := s.pushToAll(&PushMessage{Instance: s.self, Head: &head}, head.Revision)
+	if err != nil {
+		return err
+	}
+	acks.hear(s.self, head.Revision)
+	if !acks.wait(ctx, syncTimeout) {
+		s.common.Log.Warn("A text is not yet known to a majority.", "revision", head.Revision)
+	}
+	return nil
 }
 
 // KeyChanged brings a change of a key into force here and pushes it to every
@@ -184,17 +206,23 @@
 	if err != nil {
 		return err
 	}
-	acks := newMajority(change.Revision, len(s.peers())+1)
+	acks := s.pushToAll(&PushMessage{Instance: s.self, Kind: kind, Change: &change}, change.Revision)
 	acks.hear(s.self, revision)
-	s.push(&PushMessage{Instance: s.self, Kind: kind, Change: &change}, func(instance string, reply *PushReply) {
-		acks.hear(instance, reply.Revision)
-	})
 	if !acks.wait(ctx, syncTimeout) {
 		s.common.Log.Warn("A change of a key is not yet known to a majority.", "revision", change.Revision)
 	}
 	return nil
 }
 
+// pushToAll pushes what came with the revision to every peer and returns where
+// their replies are counted.
+func (s *Spread) pushToAll(q *PushMessage, revision int64) *majority {
+	peers := s.peers()
+	acks := newMajority(revision, len(peers)+1)
+	s.push(peers, q, func(instance string, reply *PushReply) { acks.hear(instance, reply.Revision) })
+	return acks
+}
+
 // learnHead takes a text that was read or pushed.
 func (s *Spread) learnHead(head conf.Head, from string, now time.Time) {
 	changed, err := s.ledger.Learn(head, from)
--- a/trial/load_test.go
+++ b/trial/load_test.go
@@ -26,11 +26,13 @@
 	// call again, at another instance and with the same idempotency key, until
 	// it has the whole answer.
 	load struct {
-		c       *cluster
-		key     string
-		turns   atomic.Int64
-		failure atomic.Pointer[string]
-		group   *group.Group
+		c     *cluster
+		key   string
+		turns atomic.Int64
+		// refusals counts answers other than whole ones.
+		refusals atomic.Int64
+		failure  atomic.Pointer[string]
+		group    *group.Group
 	}
 )
 
@@ -102,6 +104,7 @@
 		if err == nil || isMixed(err) {
 			return err
 		}
+		l.refusals.Add(1)
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("not in time: %w", err)
