--- a/engine/client.go
+++ b/engine/client.go
@@ -128,6 +128,13 @@
 	return c.call(ctx, t, http.MethodPost, PathOrders, body, nil)
 }
 
+// Serving returns what an engine serves.
+func (c *Client) Serving(ctx context.Context, t Target) (Serving, error) {
+	var serving Serving
+	err := c.call(ctx, t, http.MethodGet, PathOrders, nil, &serving)
+	return serving, err
+}
+
 func (c *Client) request(ctx context.Context, t Target, method, path string, body []byte) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+t.Address+path, bytes.NewReader(body))
 	if err != nil {
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -100,6 +100,10 @@
 			_, err := c.CacheEvents(ctx, t, 7)
 			return err
 		}},
+		{want: "GET /v1/orders", do: func(c *engine.Client, t engine.Target) error {
+			_, err := c.Serving(ctx, t)
+			return err
+		}},
 		{want: "GET /v1/load", do: func(c *engine.Client, t engine.Target) error {
 			_, err := c.Load(ctx, t)
 			return err
--- a/engine/contract_test.go
+++ b/engine/contract_test.go
@@ -55,6 +55,9 @@
 	assert.NilError(t, client.Order(ctx, target, order))
 	order.Fence = 1
 	assert.ErrorIs(t, client.Order(ctx, target, order), engine.ErrOldFence)
+	serving, err := client.Serving(ctx, target)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, serving, engine.Serving{Fence: 2, Models: []string{"m"}})
 	assert.ErrorIs(t, client.CancelRequest(ctx, target, "unknown"), engine.ErrNotFound)
 }
 
--- a/engine/orders.go
+++ b/engine/orders.go
@@ -62,9 +62,13 @@
 		version     int64
 		// seenAt is when the row's version was first seen.
 		seenAt time.Time
+		// unread says that the row must be read again before the next order.
+		unread bool
 		// beganAt is when the commit was begun.
 		beganAt time.Time
 		order   Order
+		// engineFence is the highest number that the engine said it has seen.
+		engineFence int64
 		// answered says that the engine answered the last order of this holder,
 		// so that nothing of it is still on its way.
 		answered bool
@@ -99,6 +103,7 @@
 // absent has version zero.
 func (o *Orders) ObserveRow(row store.Row, now time.Time) error {
 	if row.Version == o.version && !o.seenAt.IsZero() {
+		o.unread = false
 		return nil
 	}
 	if row.Version < o.version {
@@ -111,7 +116,7 @@
 		}
 	}
 	o.row, o.version, o.seenAt = next, row.Version, now
-	o.answered = false
+	o.answered, o.unread = false, false
 	o.stage = OrderFree
 	return nil
 }
@@ -121,11 +126,11 @@
 // previous holder's lease has ended for sure, by this holder's own clock from
 // when it first saw the row.
 func (o *Orders) Begin(kind OrderKind, target, requestID string, now time.Time) (store.Txn, error) {
-	if o.seenAt.IsZero() || (!o.checksFence && now.Before(o.leaseEnds())) {
+	if o.Held(now) {
 		o.stage = OrderWaiting
 		return store.Txn{}, errors.Trace(ErrLeaseHeld)
 	}
-	o.order = Order{Kind: kind, Target: target, Fence: o.row.Fence + 1}
+	o.order = Order{Kind: kind, Target: target, Fence: o.nextFence()}
 	value, err := json.Marshal(OrderRow{
 		Holder:      o.holder,
 		Fence:       o.order.Fence,
@@ -144,6 +149,21 @@
 	}, nil
 }
 
+// Held says that no order may be begun yet: the row hasn't been read, or the
+// previous holder's lease may still run at an engine that ignores numbers.
+func (o *Orders) Held(now time.Time) bool {
+	return o.seenAt.IsZero() || o.unread || (!o.checksFence && now.Before(o.leaseEnds()))
+}
+
+// ObserveFence takes the highest number that the engine says it has seen, so
+// that a table which was set back doesn't lead to numbers that it refuses.
+func (o *Orders) ObserveFence(fence int64) { o.engineFence = max(o.engineFence, fence) }
+
+// Fence returns the last number that the row is known to hold.
+func (o *Orders) Fence() int64 { return o.row.Fence }
+
+func (o *Orders) nextFence() int64 { return max(o.row.Fence, o.engineFence) + 1 }
+
 // leaseEnds is when whoever wrote the row has stopped sending. The row may have
 // been written long before it was seen, never after.
 func (o *Orders) leaseEnds() time.Time {
@@ -161,7 +181,7 @@
 		return
 	}
 	if err != nil {
-		o.stage, o.seenAt = OrderFree, time.Time{}
+		o.stage, o.unread = OrderFree, true
 		return
 	}
 	o.version, o.seenAt, o.answered = version, now, false
@@ -183,7 +203,7 @@
 
 // Abandon gives up an order that may not be sent any more. The row must be read
 // again.
-func (o *Orders) Abandon() { o.stage, o.seenAt = OrderFree, time.Time{} }
+func (o *Orders) Abandon() { o.stage, o.unread = OrderFree, true }
 
 // Sent takes the outcome of the sending. Whatever it was, the engine's state
 // is looked at before anything is concluded, since an engine that ignores
@@ -195,7 +215,7 @@
 	o.stage = OrderChecking
 	o.answered = err == nil
 	if errors.Is(err, ErrOldFence) {
-		o.stage, o.seenAt = OrderFree, time.Time{}
+		o.stage, o.unread = OrderFree, true
 	}
 }
 
@@ -211,5 +231,5 @@
 
 // RequestID names a transaction by the holder and the number it takes.
 func (o *Orders) RequestID() string {
-	return o.Key() + "/" + o.holder + "/" + strconv.FormatInt(o.row.Fence+1, 10)
+	return o.Key() + "/" + o.holder + "/" + strconv.FormatInt(o.nextFence(), 10)
 }
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -1,7 +1,7 @@
 // Package engine speaks the model engines' protocol and keeps what is known
 // of their caches. Client and Stream do the input and output; CacheIndex,
-// Sweeper, Orders and LoadLimiter are pure decisions that take the time as a
-// value.
+// Sweeper, Orders, LoadLimiter and LoadBudget are pure decisions that take the
+// time as a value.
 package engine
 
 const (
@@ -15,7 +15,8 @@
 	PathCacheEvents = "/v1/cache/events"
 	// PathLoad reports the load.
 	PathLoad = "/v1/load"
-	// PathOrders takes orders to load models and to change role.
+	// PathOrders takes orders to load models and to change role, and tells what
+	// the engine serves.
 	PathOrders = "/v1/orders"
 
 	// HeaderProgram names the program whose prefix the engine caches.
@@ -96,4 +97,14 @@
 		// Fence is the fencing number; it rises with each order.
 		Fence int64 `json:"fence"`
 	}
+
+	// Serving is what an engine serves.
+	Serving struct {
+		// Fence is the highest fencing number that the engine has seen; zero for
+		// an engine that ignores them.
+		Fence    int64    `json:"fence"`
+		Models   []string `json:"models"`
+		Adapters []string `json:"adapters"`
+		Role     string   `json:"role"`
+	}
 )
