Let the stand-in engine speak the engine client's words

Cause: the engine sent an event kind that the client does not know, took no order to set a version and never said that it had lately started. Change: removed prefixes are reported as evicted; setVersion is an order; the load report says coldish after a start, and not when the engine turned cold by itself.

--- a/stand/engine.go
+++ b/stand/engine.go
@@ -74,7 +74,9 @@
 		mu     sync.Mutex
 		random *rand.Rand
 		// starts counts the engine's starts.
-		starts      int
+		starts int
+		// unannounced says that the engine turned cold without a start.
+		unannounced bool
 		epoch       context.Context
 		endEpoch    context.CancelCauseFunc
 		awayUntil   time.Time
@@ -105,6 +107,9 @@
 		CacheTokens int `json:"cacheTokens"`
 		// CacheLimit is the tokens that it can hold.
 		CacheLimit int `json:"cacheLimit"`
+		// Coldish says that the engine has lately started; one that turned cold
+		// by itself does not say so.
+		Coldish bool `json:"coldish"`
 	}
 )
 
@@ -124,6 +129,7 @@
 	e.reset()
 	if config.StartCold {
 		e.turnCold()
+		e.noteLoad()
 	}
 	e.server = newServer(listenAddress, e.routes())
 	return e
@@ -152,6 +158,7 @@
 	defer e.mu.Unlock()
 	stats := e.stats
 	stats.CacheTokens = e.cache.used
+	stats.Evictions += e.cache.evictions
 	return stats
 }
 
@@ -172,6 +179,7 @@
 	if faults.TurnCold {
 		e.emptyCache()
 		e.turnCold()
+		e.unannounced = true
 	}
 	faults.Crash = false
 	faults.TurnCold = false
@@ -257,12 +265,14 @@
 	e.reset()
 	e.awayUntil = time.Now().Add(e.config.RestartDelay)
 	e.turnCold()
+	e.noteLoad()
 }
 
 // reset begins an epoch with an empty cache.
 func (e *Engine) reset() {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	e.starts++
+	e.unannounced = false
 	e.epoch = ctx
 	e.endEpoch = cancel
 	e.slots = &slotQueue{free: e.config.Slots}
@@ -272,6 +282,9 @@
 }
 
 func (e *Engine) emptyCache() {
+	if e.cache != nil {
+		e.stats.Evictions += e.cache.evictions
+	}
 	e.cache = newPrefixCache(e.config.CacheTokens, e.noteEvent)
 }
 
@@ -288,15 +301,13 @@
 		Epoch:       strconv.Itoa(e.starts),
 		CacheTokens: e.cache.used,
 		CacheLimit:  e.config.CacheTokens,
+		Coldish:     e.warmth.cold && !e.unannounced,
 	}, time.Now())
 }
 
 // noteEvent numbers the event and keeps it, unless it gets lost.
 func (e *Engine) noteEvent(kind EventKind, program string, tokens int) {
 	e.eventSeq++
-	if kind == EventEvicted {
-		e.stats.Evictions++
-	}
 	if e.random.Float64() < e.config.EventGap {
 		return
 	}
--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -313,3 +313,21 @@
 	chat(t, e, "r2", "p", user("x"))
 	assert.Equal(t, e.Stats().MaxInFlightCold, int64(1))
 }
+
+func TestEngineLoadTellsOnlyOfStarts(t *testing.T) {
+	load := func(e *stand.Engine) stand.EngineLoad {
+		_, body := call(t, http.MethodGet, e.Address(), "/v1/load", "")
+		var report stand.EngineLoad
+		assert.NilError(t, json.Unmarshal([]byte(body), &report))
+		return report
+	}
+	e := startEngine(t, stand.EngineConfig{RestartDelay: time.Nanosecond})
+	before := load(e)
+	assert.Assert(t, !before.Coldish)
+	e.SetFaults(stand.EngineFaults{TurnCold: true})
+	assert.Equal(t, load(e).Epoch, before.Epoch)
+	assert.Assert(t, !load(e).Coldish)
+	e.SetFaults(stand.EngineFaults{Crash: true})
+	assert.Assert(t, load(e).Epoch != before.Epoch)
+	assert.Assert(t, load(e).Coldish)
+}
--- a/stand/engineorder.go
+++ b/stand/engineorder.go
@@ -10,6 +10,8 @@
 	OrderLoadModel OrderKind = "loadModel"
 	// OrderLoadAdapter loads an adapter's weights.
 	OrderLoadAdapter OrderKind = "loadAdapter"
+	// OrderSetVersion loads another version of a model; the engine turns cold.
+	OrderSetVersion OrderKind = "setVersion"
 	// OrderSetRole changes the engine's role.
 	OrderSetRole OrderKind = "setRole"
 )
@@ -74,7 +76,7 @@
 	}
 	e.serving.Fence = max(e.serving.Fence, order.Fence)
 	switch order.Kind {
-	case OrderLoadModel:
+	case OrderLoadModel, OrderSetVersion:
 		e.stats.Loads++
 		e.serving.Models = appendNew(e.serving.Models, order.Target)
 		e.turnCold()
--- a/stand/prefixcache.go
+++ b/stand/prefixcache.go
@@ -9,10 +9,9 @@
 const (
 	// EventStored says that a prefix was stored or grew.
 	EventStored EventKind = "stored"
-	// EventEvicted says that a prefix made room for another.
+	// EventEvicted says that a prefix is held no more: it made room for another
+	// or was removed on request.
 	EventEvicted EventKind = "evicted"
-	// EventRemoved says that a prefix was removed on request.
-	EventRemoved EventKind = "removed"
 )
 
 type (
@@ -64,11 +63,12 @@
 	// prefixCache holds one prefix a program in bounded memory; the least
 	// recently used one that no call uses makes room.
 	prefixCache struct {
-		limit   int
-		used    int
-		recent  *list.List
-		entries map[string]*list.Element
-		notify  func(kind EventKind, program string, tokens int)
+		limit     int
+		used      int
+		evictions int64
+		recent    *list.List
+		entries   map[string]*list.Element
+		notify    func(kind EventKind, program string, tokens int)
 	}
 )
 
@@ -129,7 +129,8 @@
 	for element := c.recent.Back(); element != nil && c.used > c.limit; {
 		previous := element.Prev()
 		if element != keep && element.Value.(*cached).users == 0 {
-			c.drop(element, EventEvicted)
+			c.evictions++
+			c.drop(element)
 		}
 		element = previous
 	}
@@ -140,17 +141,17 @@
 	if element == nil {
 		return false
 	}
-	c.drop(element, EventRemoved)
+	c.drop(element)
 	return true
 }
 
-func (c *prefixCache) drop(element *list.Element, kind EventKind) {
+func (c *prefixCache) drop(element *list.Element) {
 	entry := element.Value.(*cached)
 	tokens := entry.prefix.tokens()
 	c.used -= tokens
 	c.recent.Remove(element)
 	delete(c.entries, entry.program)
-	c.notify(kind, entry.program, tokens)
+	c.notify(EventEvicted, entry.program, tokens)
 }
 
 func (c *prefixCache) list() []CacheEntry {
