Release the caches of abandoned programs whose home died

Cause: a program that was not closed, whose home died and for which no call came again held its engines' cache until its time was over.

Change: a home that is asked whether such a program has ended loads it, so that the pause is counted and the cache released as for any other. The test of two keepers no longer sleeps.

Conclusion: a dead home's programs give their caches back after the pause.

--- a/prog/core.go
+++ b/prog/core.go
@@ -196,6 +196,15 @@
 	return c.take()
 }
 
+// Watch loads a family that an engine holds a cache for, so that the cache is
+// released if no call comes.
+func (c *Core) Watch(program string, now time.Time) []Action {
+	if !validProgram(program) || c.families.Get(RootOf(program)) != nil {
+		return nil
+	}
+	return c.route(program, parked{}, now)
+}
+
 // Known reports for a program in memory whether its cache is still of use.
 func (c *Core) Known(program string, now time.Time) (ended, known bool) {
 	f := c.families.Get(RootOf(program))
--- a/prog/core_test.go
+++ b/prog/core_test.go
@@ -370,6 +370,23 @@
 	}
 }
 
+// TestAbandonedProgramOfADeadHomeIsReleased asks a new home, as an engine's
+// controller does, about a program that no call comes for.
+func TestAbandonedProgramOfADeadHomeIsReleased(t *testing.T) {
+	memory := store.NewMemory()
+	a := newLab(t, "a", memory)
+	a.open("p-1", testBudget, false)
+	a.turn("p-1", "c1")
+	b := newLab(t, "b", memory)
+	b.do(b.core.Watch("p-1", b.now))
+	ended, known := b.core.Known("p-1", b.now)
+	assert.Assert(t, known && !ended)
+	b.pass(b.core.options.IdleTimeout)
+	assert.DeepEqual(t, b.releases, []Release{{Program: "p-1", Engines: []string{"engine-1"}}})
+	ended, _ = b.core.Known("p-1", b.now)
+	assert.Assert(t, ended)
+}
+
 func TestDumpShowsWhatWaits(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
--- a/prog/keeper_test.go
+++ b/prog/keeper_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"runtime"
 	"testing"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -33,6 +32,25 @@
 	return k
 }
 
+func TestEndedPrograms(t *testing.T) {
+	ctx := context.Background()
+	fake := store.NewFake()
+	k := newTestKeeper(t, fake, "a")
+	for _, root := range []string{"p-open", "p-ended"} {
+		_, err := k.Open(ctx, OpenRequest{Program: root, Team: "team"})
+		assert.NilError(t, err)
+	}
+	_, err := k.CloseProgram(ctx, CloseRequest{Program: "p-ended", Team: "team"})
+	assert.NilError(t, err)
+	asked := []string{"p-open", "p-ended", "p-never", "p-open.1"}
+	want := []string{"p-ended", "p-never", "p-open.1"}
+	assert.DeepEqual(t, k.Ended(ctx, asked), want)
+	next := newTestKeeper(t, fake, "b")
+	assert.DeepEqual(t, next.Ended(ctx, asked), want)
+	fake.SetFault(store.FaultUnavailable)
+	assert.Equal(t, len(newTestKeeper(t, fake, "c").Ended(ctx, asked)), 0)
+}
+
 // TestKeepersUnderFaults lets callers go on at two keepers of one table while
 // answers of the store are lost and it is away for a time.
 func TestKeepersUnderFaults(t *testing.T) {
@@ -46,7 +64,7 @@
 			fake.SetFault(faults[i/10%len(faults)])
 			keepers[0].Tick()
 			keepers[1].Tick()
-			time.Sleep(time.Millisecond)
+			runtime.Gosched()
 		}
 	})
 	callers := group.NewGroup(ctx)
--- a/prog/keeperstore.go
+++ b/prog/keeperstore.go
@@ -89,8 +89,9 @@
 	return nil
 }
 
-// Ended returns which of the programs have ended, so that engines may drop
-// their caches. What cannot be found out is left out.
+// Ended returns which of the programs have ended or pause for long, so that
+// engines may drop their caches. What cannot be found out is left out. A
+// program that is not in memory is watched from then on.
 func (k *Keeper) Ended(ctx context.Context, programs []string) []string {
 	var ended []string
 	for _, p := range programs {
@@ -116,7 +117,11 @@
 	if err != nil {
 		return false
 	}
-	return endedInRow(row.Value, program, now)
+	if endedInRow(row.Value, program, now) {
+		return true
+	}
+	k.tell(func(now time.Time) []Action { return k.core.Watch(program, now) })
+	return false
 }
 
 func endedInRow(value []byte, program string, now time.Time) bool {
