--- a/stand/platform.go
+++ b/stand/platform.go
@@ -151,12 +151,17 @@
 		}
 		return false
 	}
-	if faults.Down == DownDrop {
+	if faults.Down == DownDrop || faults.TableDown && isTable(r.URL.Path) {
 		return false
 	}
 	return wait(r.Context(), time.Duration(faults.Slow)) || faults.Slow > 0
 }
 
+// isTable tells whether the path is one of the table service.
+func isTable(path string) bool {
+	return path == store.PathGet || path == store.PathRange || path == store.PathCommit
+}
+
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request) {
 	var request store.GetRequest
 	if !readJSON(w, r, &request) {
--- a/stand/platformfaults.go
+++ b/stand/platformfaults.go
@@ -21,6 +21,8 @@
 		Slow conf.Duration `json:"slow"`
 		// Down makes the whole platform fail.
 		Down Down `json:"down"`
+		// TableDown drops the connections of the table service's requests only.
+		TableDown bool `json:"tableDown"`
 		// LoseNext drops the answers of that many commits after applying them.
 		LoseNext int `json:"loseNext"`
 		// LoseProbability drops a commit's answer after applying it.
