--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,8 @@
 	exchangeTimeout = time.Second
 	// readInterval is the time between two reads of the rows in a full mesh.
 	readInterval = 2 * time.Second
+	// refreshesPerBeat is how often all members are judged in a heartbeat.
+	refreshesPerBeat = 5
 	// jitterShare spreads exchanges by up to this share, as a divisor.
 	jitterShare = 10
 )
@@ -38,12 +40,13 @@
 		delegator  *Delegator
 		book       *Book
 
-		nextID    uint64
-		nextSelf  time.Time
-		nextProbe time.Time
-		cursor    int
-		pending   map[uint64]pendingExchange
-		handovers []activeHandover
+		nextID      uint64
+		nextSelf    time.Time
+		nextProbe   time.Time
+		nextRefresh time.Time
+		cursor      int
+		pending     map[uint64]pendingExchange
+		handovers   []activeHandover
 		// homesMoved says that the homes changed since the last tick.
 		homesMoved bool
 		draining   bool
@@ -93,7 +96,10 @@
 func (f *Fleet) Tick(now time.Time) Actions {
 	var a Actions
 	f.expire(now)
-	f.refresh(now)
+	if !now.Before(f.nextRefresh) {
+		f.nextRefresh = now.Add(f.config.HeartbeatInterval / refreshesPerBeat)
+		f.refresh(now)
+	}
 	f.book.Tick(now)
 	a.HomesChanged = f.homesMoved
 	f.homesMoved = false
@@ -121,7 +127,7 @@
 func (f *Fleet) HandlePull(r PullRequest, now time.Time) PullReply {
 	f.traffic.received(r.WireBytes())
 	f.hear(r.From, now)
-	f.refresh(now)
+	f.refreshOne(r.From.Instance.Name, now)
 	reply := f.delegator.HandlePull(r, f.offer(now), now)
 	reply.From = f.heartbeat(now)
 	f.traffic.sent(reply.WireBytes())
@@ -137,7 +143,7 @@
 	f.observe(peer, true, now)
 	f.book.Received(peer, r, now)
 	f.retry(peer, r.RetryAfter, now)
-	f.refresh(now)
+	f.refreshOne(peer, now)
 	f.publish(now)
 }
 
@@ -154,7 +160,7 @@
 // Observe says whether a call to a peer outside of the exchanges came through.
 func (f *Fleet) Observe(peer string, ok bool, now time.Time) {
 	f.observe(peer, ok, now)
-	f.refresh(now)
+	f.refreshOne(peer, now)
 	f.publish(now)
 }
 
@@ -226,12 +232,23 @@
 // refresh judges the members anew.
 func (f *Fleet) refresh(now time.Time) {
 	if f.membership.refresh(now) {
-		f.homesMoved = true
-		f.planStale = true
-		f.membersStale = true
+		f.moved()
 	}
 }
 
+func (f *Fleet) refreshOne(name string, now time.Time) {
+	if f.membership.refreshOne(name, now) {
+		f.moved()
+	}
+}
+
+// moved notes that the homes changed.
+func (f *Fleet) moved() {
+	f.homesMoved = true
+	f.planStale = true
+	f.membersStale = true
+}
+
 func (f *Fleet) hear(h Heartbeat, now time.Time) {
 	known := f.membership.byName[h.Instance.Name]
 	if known == nil || known.seats != h.Seats || known.saidLeaving != h.Instance.Leaving {
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -151,20 +151,41 @@
 	ms.forget(now)
 	changed := ms.homes == nil
 	for _, m := range ms.members {
-		m.judge(ms.beat, now)
-		m.domainOut = slices.Contains(ms.domainsOut, m.instance.FailureDomain)
-		m.presumable = len(ms.members) > MeshLimit || now.Sub(ms.started) < failAfterBeats*ms.beat
-		fit := ms.judgeFit(m, now)
-		changed = changed || fit != m.fit
-		m.fit = fit
+		changed = ms.review(m, now) || changed
 	}
 	if changed {
-		ms.homes = rendezvous(ms.members)
-		ms.own = ms.ownShards()
+		ms.assign()
 	}
 	return changed
 }
 
+// refreshOne judges one member and says whether the homes changed.
+func (ms *membership) refreshOne(name string, now time.Time) bool {
+	m := ms.byName[name]
+	if m == nil || !ms.review(m, now) {
+		return false
+	}
+	ms.assign()
+	return true
+}
+
+// review judges a member and says whether its fitness changed.
+func (ms *membership) review(m *member, now time.Time) bool {
+	m.judge(ms.beat, now)
+	m.domainOut = slices.Contains(ms.domainsOut, m.instance.FailureDomain)
+	m.presumable = len(ms.members) > MeshLimit || now.Sub(ms.started) < failAfterBeats*ms.beat
+	fit := ms.judgeFit(m, now)
+	changed := fit != m.fit
+	m.fit = fit
+	return changed
+}
+
+// assign gives every shard its home.
+func (ms *membership) assign() {
+	ms.homes = rendezvous(ms.members)
+	ms.own = ms.ownShards()
+}
+
 func (ms *membership) judgeFit(m *member, now time.Time) bool {
 	if m.domainOut {
 		return false
