Beat once a second

Cause: control costs too many bytes; a delegation of 3 s needs no pull every half second. Change: heartbeatInterval 1 s by default.

--- a/boot/node.go
+++ b/boot/node.go
@@ -39,6 +39,9 @@
 const (
 	// tickInterval is the time between two ticks of the control thread.
 	tickInterval = 50 * time.Millisecond
+	// keptBound is how long an answer waits for its turn's commit before it
+	// goes out as not yet kept.
+	keptBound = 250 * time.Millisecond
 	// sweepInterval is the time between two tries at what the store did not
 	// take.
 	sweepInterval = time.Second
@@ -144,7 +147,7 @@
 func (n *Node) makeHomes() {
 	epoch := strconv.FormatUint(n.epoch, 36)
 	n.keeper = prog.NewKeeper(context.Background(), prog.KeeperOptions{
-		Core:      prog.DefaultOptions(n.self.Name, epoch),
+		Core:      n.programOptions(epoch),
 		Common:    n.common,
 		Table:     n.platform,
 		Objects:   n.platform,
@@ -179,6 +182,12 @@
 	}
 }
 
+func (n *Node) programOptions(epoch string) prog.Options {
+	o := prog.DefaultOptions(n.self.Name, epoch)
+	o.KeptBound = keptBound
+	return o
+}
+
 // listen makes the three servers.
 func (n *Node) listen() error {
 	var handlers []peer.Handler
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -58,7 +58,7 @@
 		PeerAddress:       "127.0.0.1:8082",
 		PlatformAddress:   "127.0.0.1:7000",
 		LogLevel:          "info",
-		HeartbeatInterval: Duration(500 * time.Millisecond),
+		HeartbeatInterval: Duration(time.Second),
 		DelegationTTL:     Duration(3 * time.Second),
 		SeatTTL:           Duration(90 * time.Second),
 		StoreTimeout:      Duration(2 * time.Second),
