Take calls back from homes that gave no answer, and prove slow starts

Cause: tests of cold engines over processes found that - a home that woke from a pause assigned calls whose askers had gone on to the next home; nobody ran them and their slots stayed taken until the deadline; - a new home that asked what runs could learn of an attempt whose end was on its way to the old home, and waited for it until the deadline; - a home whose authority had lapsed while it was paused went on with what it knew when the authority came back, programs' histories included; - the slot of a call whose caller left was given away while the engine still ran the call: a cold engine got one call more than it can bear.

Change: a call that a home did not answer is taken back there and gets a new ID for the next one; an instance tells the homes that asked of each attempt's end; lapsed authority drops the service and has the shard's programs read again; a call that nobody reads is cancelled at its engine before its slot is given back; a call carries the upstreams that it failed on. A planned stop also waits for outcomes that the store did not take.

An engine that turns cold unannounced is noticed only by slow first tokens of at least 250 ms.

--- a/boot/life.go
+++ b/boot/life.go
@@ -51,9 +51,9 @@
 }
 
 // settled tells whether nothing is left that only this instance knows: shards,
-// and turns that no home has kept yet.
+// turns that no home has kept yet, and outcomes that the store did not take.
 func (n *Node) settled(ctx context.Context) bool {
-	return n.carrier.Len() == 0 && n.relayer.Len() == 0 && n.member.Drained(ctx)
+	return n.carrier.Len() == 0 && n.relayer.Len() == 0 && n.intents.Pending() == 0 && n.member.Drained(ctx)
 }
 
 // Close stops every part at once and waits for them.
--- a/calls/model.go
+++ b/calls/model.go
@@ -45,10 +45,10 @@
 	// Pools asks the homes of the services for upstreams.
 	Pools interface {
 		// Submit waits for an assignment or a refusal. After a failed attempt
-		// the same call is submitted again.
+		// the same call is submitted again. A call that is left waiting is
+		// taken back. The decision's call is the one to report and to submit
+		// again.
 		Submit(ctx context.Context, service string, call route.Call) (route.Decision, error)
-		// Cancel takes back a call that waits.
-		Cancel(service, call string)
 		// Done reports how an attempt ended and waits until the report has
 		// come in, so that the call may be submitted again.
 		Done(ctx context.Context, service string, report route.Report)
@@ -338,7 +338,6 @@
 	for {
 		decision, err := r.pools.Submit(ctx, r.service.Name, r.routeCall())
 		if err != nil {
-			r.pools.Cancel(r.service.Name, r.call.Attempt)
 			return refuseUnavailable(state, "no upstream was found in time")
 		}
 		if r.tries.isStale(decision) {
@@ -348,8 +347,9 @@
 		if decision.Refuse != nil {
 			return refuseRoute(decision.Refuse)
 		}
-		report, refusal := r.attempt(ctx, *decision.Assign)
+		report, refusal := r.attempt(ctx, decision.Call, *decision.Assign)
 		r.tries.add(report)
+		r.stop(ctx, *decision.Assign, &report)
 		r.pools.Done(context.WithoutCancel(ctx), r.service.Name, report)
 		if report.Outcome == route.OutcomeCompleted {
 			return nil
@@ -365,7 +365,7 @@
 
 func (r *run) routeCall() route.Call {
 	call := route.Call{
-		ID:              r.call.Attempt,
+		ID:              r.tries.callID(r.call.Attempt),
 		Relay:           r.self,
 		Program:         r.cacheName(),
 		Root:            r.call.Attempt,
@@ -378,6 +378,7 @@
 		Deadline:        r.call.Deadline,
 		Attempts:        r.tries.last.Attempt,
 		Begun:           r.tries.begun,
+		Avoid:           r.tries.failed,
 	}
 	if r.call.Program != "" {
 		call.Root = prog.RootOf(r.call.Program)
@@ -390,10 +391,10 @@
 
 // attempt sends the call to one upstream. A refusal means that no other
 // upstream may be tried.
-func (r *run) attempt(ctx context.Context, a route.Assign) (route.Report, *Refusal) {
-	report := route.Report{Call: r.call.Attempt, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
+func (r *run) attempt(ctx context.Context, id string, a route.Assign) (route.Report, *Refusal) {
+	report := route.Report{Call: id, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
 	sent := r.common.Clock.Now()
-	err := r.stream(ctx, a, func() { report.FirstToken = r.common.Clock.Now().Sub(sent) })
+	err := r.stream(ctx, id, a, func() { report.FirstToken = r.common.Clock.Now().Sub(sent) })
 	report.Outcome = outcomeOf(ctx, err)
 	report.Delivered = r.delivered > 0
 	report.Tokens = int(r.answer.Usage.AnswerTokens)
@@ -419,9 +420,9 @@
 
 // stream relays one attempt's chunks and takes its stream up again at the same
 // upstream when the connection breaks.
-func (r *run) stream(ctx context.Context, a route.Assign, first func()) error {
+func (r *run) stream(ctx context.Context, id string, a route.Assign, first func()) error {
 	target := engine.Target{Address: a.Address, Credential: r.service.Credential}
-	requestID := route.RequestID(r.call.Attempt, a.Attempt)
+	requestID := route.RequestID(id, a.Attempt)
 	stream, err := r.open(ctx, target, requestID, a)
 	for resumes := 0; ; resumes++ {
 		if err == nil {
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -265,7 +265,6 @@
 	for {
 		decision, err := r.pools.Submit(ctx, r.call.Service.Name, r.routeCall())
 		if err != nil {
-			r.pools.Cancel(r.call.Service.Name, r.call.Attempt)
 			return relay.PlainAnswer{}, refuseUnavailable(state, "no upstream was found in time")
 		}
 		if r.tries.isStale(decision) {
@@ -279,7 +278,7 @@
 			}
 			return relay.PlainAnswer{}, refusal
 		}
-		answer, report, err := r.attempt(ctx, *decision.Assign)
+		answer, report, err := r.attempt(ctx, decision.Call, *decision.Assign)
 		r.tries.add(report)
 		r.pools.Done(context.WithoutCancel(ctx), r.call.Service.Name, report)
 		if err == nil {
@@ -305,8 +304,12 @@
 	}
 }
 
-func (r *plainRun) attempt(ctx context.Context, a route.Assign) (relay.PlainAnswer, route.Report, error) {
-	report := route.Report{Call: r.call.Attempt, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
+func (r *plainRun) attempt(
+	ctx context.Context,
+	id string,
+	a route.Assign,
+) (relay.PlainAnswer, route.Report, error) {
+	report := route.Report{Call: id, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
 	sent := r.common.Clock.Now()
 	answer, err := r.relay.Call(ctx, relay.PlainRequest{
 		Address:    a.Address,
@@ -338,7 +341,7 @@
 
 func (r *plainRun) routeCall() route.Call {
 	call := route.Call{
-		ID:              r.call.Attempt,
+		ID:              r.tries.callID(r.call.Attempt),
 		Relay:           r.self,
 		Program:         r.call.Attempt,
 		Root:            r.call.Attempt,
@@ -350,6 +353,7 @@
 		Deadline:        r.call.Deadline,
 		Attempts:        r.tries.last.Attempt,
 		Begun:           r.tries.begun,
+		Avoid:           r.tries.failed,
 	}
 	if r.call.Program != "" {
 		call.Program = r.call.Program
--- a/calls/tries.go
+++ b/calls/tries.go
@@ -9,11 +9,23 @@
 	last route.Report
 	// begun says that one of them may have run.
 	begun bool
+	// failed are the upstreams of the attempts.
+	failed []string
+}
+
+// callID is the ID that the homes know the call by: that of the latest
+// attempt, or the first one.
+func (t *tries) callID(first string) string {
+	if t.last.Attempt == 0 {
+		return first
+	}
+	return t.last.Call
 }
 
 // add notes how an attempt ended.
 func (t *tries) add(report route.Report) {
 	t.last = report
+	t.failed = append(t.failed, report.Upstream)
 	if report.Outcome != route.OutcomeUnreachable && report.Outcome != route.OutcomeRefused {
 		t.begun = true
 	}
--- a/homes/ask.go
+++ b/homes/ask.go
@@ -55,6 +55,9 @@
 		// Resend changes the request before it is sent again; nil means that
 		// it is sent as it is.
 		Resend func(q *Q)
+		// Left is told of a place that gave no answer and may act on the request
+		// later; it may change the request. Nil means that nothing is done.
+		Left func(place Place, q *Q)
 	}
 )
 
@@ -69,10 +72,14 @@
 func (c Call[Q, R]) Ask(ctx context.Context, r *Router, shard uint8, q *Q) (*R, error) {
 	pause := firstRetryPause
 	for {
-		answer, err := c.try(ctx, r, shard, q)
+		place, ok := r.locator.Locate(shard)
+		answer, err := c.try(ctx, r, shard, place, ok, q)
 		if err == nil {
 			return answer, nil
 		}
+		if ok && c.Left != nil && !errors.Is(err, peer.ErrNotHome) {
+			c.Left(place, q)
+		}
 		if !isRetryable(err) {
 			return nil, err
 		}
@@ -86,9 +93,8 @@
 	}
 }
 
-func (c Call[Q, R]) try(ctx context.Context, r *Router, shard uint8, q *Q) (*R, error) {
-	place, ok := r.locator.Locate(shard)
-	if !ok {
+func (c Call[Q, R]) try(ctx context.Context, r *Router, shard uint8, place Place, known bool, q *Q) (*R, error) {
+	if !known {
 		return nil, ErrNoHome
 	}
 	if place.Self {
--- a/pools/home.go
+++ b/pools/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -79,6 +80,10 @@
 		policy  Policy
 		index   *engine.CacheIndex
 		waiting map[string]chan route.Decision
+		// ended holds the attempts that were reported as ended while the
+		// relaying instances were still being asked what they have running.
+		ended      map[attemptKey]struct{}
+		askedUntil time.Time
 
 		nextProbe time.Time
 		// probing holds the engines that have a question open.
@@ -150,6 +155,7 @@
 
 // SetAuthority follows the fleet; it runs on the control thread.
 func (h *Home) SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time) {
+	h.dropLapsed(s, now)
 	h.authority[s] = a
 	h.follow(s, now)
 }
@@ -164,6 +170,9 @@
 
 // Tick runs every policy once; it runs on the control thread.
 func (h *Home) Tick(now time.Time) {
+	for name := range h.services {
+		h.dropLapsed(fleet.ShardOf(name), now)
+	}
 	h.admit(now)
 	for _, s := range h.services {
 		exclusive := h.authority[fleet.ShardOf(s.config.Name)].At(now).Exclusive
@@ -210,6 +219,7 @@
 		policy:  h.newPolicy(index),
 		index:   index,
 		waiting: make(map[string]chan route.Decision),
+		ended:   make(map[attemptKey]struct{}),
 		probing: make(map[string]bool),
 		sweeper: engine.NewSweeper(engine.DefaultSweepLimits()),
 	}
@@ -219,6 +229,7 @@
 	for _, m := range members {
 		names = append(names, m.Instance.Name)
 	}
+	s.askedUntil = now.Add(relayedTimeout + settleTime)
 	s.policy.SettleUntil(names, now.Add(settleTime))
 	h.apply(s, s.policy.Configure(config, h.text.DomainsOut, now))
 	for _, m := range members {
@@ -226,6 +237,32 @@
 	}
 }
 
+// dropLapsed gives up the services of a shard whose authority has lapsed, also
+// if it was renewed since: another home may have decided in between, as while
+// this process was paused.
+func (h *Home) dropLapsed(shard fleet.Shard, now time.Time) {
+	if h.authority[shard].At(now).Seats > 0 {
+		return
+	}
+	for name := range h.services {
+		if fleet.ShardOf(name) == shard {
+			h.drop(name)
+		}
+	}
+}
+
+// service returns a service that this instance is the home of now, with the
+// authority that holds now.
+func (h *Home) service(name string, now time.Time) (*service, bool) {
+	shard := fleet.ShardOf(name)
+	h.dropLapsed(shard, now)
+	s, ok := h.services[name]
+	if ok {
+		h.apply(s, s.policy.SetAuthority(h.authority[shard].At(now).Exclusive, now))
+	}
+	return s, ok
+}
+
 // drop gives a service up; who waits asks the next home.
 func (h *Home) drop(name string) {
 	s := h.services[name]
@@ -238,14 +275,16 @@
 func (h *Home) askRelayed(ctx context.Context, m fleet.Member, name string) {
 	ctx, cancel := context.WithTimeout(ctx, relayedTimeout)
 	defer cancel()
-	reply, err := h.callRelayed(ctx, m, &RelayedRequest{Service: name})
+	reply, err := h.callRelayed(ctx, m, &RelayedRequest{Service: name, Asker: h.viewer.View().Self.Address})
 	if err != nil {
 		h.common.Log.Debug("An instance did not say what it relays.", "instance", m.Instance.Name, "error", err)
 		return
 	}
 	_ = h.thread.Post(ctx, func(now time.Time) {
 		if s, ok := h.services[name]; ok {
-			h.apply(s, s.policy.Adopt(reply.received(now), now))
+			state := reply.received(now)
+			state.Calls = slices.DeleteFunc(state.Calls, s.hasEnded)
+			h.apply(s, s.policy.Adopt(state, now))
 		}
 	})
 }
@@ -262,7 +301,7 @@
 }
 
 func (h *Home) relayed(_ context.Context, q *RelayedRequest) (*RelayedReply, error) {
-	return h.relayer.List(q.Service, h.common.Clock.Now()), nil
+	return h.relayer.List(q, h.common.Clock.Now()), nil
 }
 
 // apply hands decisions to the calls that wait for them.
@@ -329,7 +368,7 @@
 	c := make(chan route.Decision, 1)
 	known := false
 	err := h.thread.Do(ctx, func(now time.Time) {
-		s, ok := h.services[q.Service]
+		s, ok := h.service(q.Service, now)
 		if known = ok; !ok {
 			return
 		}
@@ -368,6 +407,7 @@
 
 func (h *Home) done(ctx context.Context, q *DoneMessage) (*DoneReply, error) {
 	err := h.onService(ctx, q.Service, func(s *service, now time.Time) {
+		s.noteEnded(&q.Report, now)
 		h.apply(s, s.policy.Done(q.Report, now))
 	})
 	if err != nil {
@@ -376,6 +416,20 @@
 	return &DoneReply{}, nil
 }
 
+// noteEnded remembers an end that may come before the list of what ran.
+func (s *service) noteEnded(r *route.Report, now time.Time) {
+	if now.After(s.askedUntil) {
+		clear(s.ended)
+		return
+	}
+	s.ended[attemptKey{r.Call, r.Attempt}] = struct{}{}
+}
+
+func (s *service) hasEnded(f route.Inflight) bool {
+	_, ok := s.ended[attemptKey{f.Call.ID, f.Attempt}]
+	return ok
+}
+
 func (h *Home) cancel(ctx context.Context, q *CancelMessage) (*CancelReply, error) {
 	err := h.onService(ctx, q.Service, func(s *service, now time.Time) {
 		h.apply(s, s.policy.Cancel(q.Call, now))
@@ -389,7 +443,7 @@
 func (h *Home) onService(ctx context.Context, name string, f func(s *service, now time.Time)) error {
 	known := false
 	err := h.thread.Do(ctx, func(now time.Time) {
-		s, ok := h.services[name]
+		s, ok := h.service(name, now)
 		if known = ok; ok {
 			f(s, now)
 		}
--- a/pools/message.go
+++ b/pools/message.go
@@ -65,6 +65,8 @@
 	// RelayedRequest asks for the running calls of one service.
 	RelayedRequest struct {
 		Service string `json:"service"`
+		// Asker is the peer address that the ends of these calls are told to.
+		Asker string `json:"asker"`
 	}
 
 	// RelayedReply lists running calls with the time that each has left.
--- a/pools/relayed.go
+++ b/pools/relayed.go
@@ -13,10 +13,17 @@
 	Relayer struct {
 		self string
 
-		mu       sync.Mutex
-		running  map[attemptKey]route.Inflight
-		warmths  map[warmthKey]route.Warmth
-		services map[attemptKey]string
+		mu      sync.Mutex
+		running map[attemptKey]*relayed
+		warmths map[warmthKey]route.Warmth
+	}
+
+	// relayed is an attempt and the peer addresses of the homes that were told
+	// of it: each of them waits for the attempt's end.
+	relayed struct {
+		route.Inflight
+		service string
+		askers  []string
 	}
 
 	attemptKey struct {
@@ -33,10 +40,9 @@
 // NewRelayer returns a relayer of no attempts for the instance self.
 func NewRelayer(self string) *Relayer {
 	return &Relayer{
-		self:     self,
-		running:  make(map[attemptKey]route.Inflight),
-		warmths:  make(map[warmthKey]route.Warmth),
-		services: make(map[attemptKey]string),
+		self:    self,
+		running: make(map[attemptKey]*relayed),
+		warmths: make(map[warmthKey]route.Warmth),
 	}
 }
 
@@ -44,18 +50,25 @@
 func (r *Relayer) Add(service string, call route.Call, a route.Assign) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	key := attemptKey{call.ID, a.Attempt}
-	r.running[key] = route.Inflight{Call: call, Upstream: a.Upstream, Attempt: a.Attempt, Warmth: a.Warmth}
-	r.services[key] = service
+	r.running[attemptKey{call.ID, a.Attempt}] = &relayed{
+		Inflight: route.Inflight{Call: call, Upstream: a.Upstream, Attempt: a.Attempt, Warmth: a.Warmth},
+		service:  service,
+	}
 	r.warmths[warmthKey{service, a.Upstream}] = a.Warmth
 }
 
-// Remove forgets an attempt that has ended.
-func (r *Relayer) Remove(call string, attempt int) {
+// Remove forgets an attempt that has ended. It returns the peer addresses of
+// the homes that were told that it runs.
+func (r *Relayer) Remove(call string, attempt int) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.running, attemptKey{call, attempt})
-	delete(r.services, attemptKey{call, attempt})
+	key := attemptKey{call, attempt}
+	f, ok := r.running[key]
+	if !ok {
+		return nil
+	}
+	delete(r.running, key)
+	return f.askers
 }
 
 // Len returns the number of attempts.
@@ -65,19 +78,21 @@
 	return len(r.running)
 }
 
-// List returns the attempts and warmths of one service.
-func (r *Relayer) List(service string, now time.Time) *RelayedReply {
+// List returns the attempts and warmths of one service and notes who asked.
+func (r *Relayer) List(q *RelayedRequest, now time.Time) *RelayedReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := &RelayedReply{State: route.RelayState{Relay: r.self}}
-	for key, f := range r.running {
-		if r.services[key] == service {
-			reply.State.Calls = append(reply.State.Calls, f)
-			reply.TimeLeft = append(reply.TimeLeft, f.Call.Deadline.Sub(now))
+	for _, f := range r.running {
+		if f.service != q.Service {
+			continue
 		}
+		f.askers = append(f.askers, q.Asker)
+		reply.State.Calls = append(reply.State.Calls, f.Inflight)
+		reply.TimeLeft = append(reply.TimeLeft, f.Call.Deadline.Sub(now))
 	}
 	for key, w := range r.warmths {
-		if key.service == service {
+		if key.service == q.Service {
 			reply.State.Warmths = append(reply.State.Warmths, w)
 		}
 	}
--- a/progs/home.go
+++ b/progs/home.go
@@ -36,8 +36,13 @@
 		viewer  Viewer
 		carrier *Carrier
 		held    [fleet.ShardCount]bool
-		gained  fleet.Bitmap
-		group   *group.Group
+		// until is when the authority over each held shard lapses.
+		until  [fleet.ShardCount]time.Time
+		gained fleet.Bitmap
+		// lapsed are gained shards that may have had another home since: what
+		// is known of their programs is read again.
+		lapsed fleet.Bitmap
+		group  *group.Group
 	}
 )
 
@@ -89,15 +94,20 @@
 	if h.gained.Empty() {
 		return
 	}
-	shards := h.gained
-	h.gained = fleet.Bitmap{}
-	h.group.Go(func(ctx context.Context) { h.takeOver(ctx, shards) })
+	shards, lapsed := h.gained, h.lapsed
+	h.gained, h.lapsed = fleet.Bitmap{}, fleet.Bitmap{}
+	h.group.Go(func(ctx context.Context) {
+		h.reread(ctx, lapsed)
+		h.takeOver(ctx, shards)
+	})
 }
 
 // SetAuthority follows the fleet; it runs on the control thread.
-func (h *Home) SetAuthority(s fleet.Shard, a fleet.Authority, _ time.Time) {
+func (h *Home) SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time) {
 	holds := a.Seats > 0
-	if holds == h.held[s] {
+	lapsed := h.held[s] && !now.Before(h.until[s])
+	h.until[s] = a.Until
+	if holds == h.held[s] && !lapsed {
 		return
 	}
 	h.held[s] = holds
@@ -107,6 +117,9 @@
 	}
 	h.keeper.Hold(int(s))
 	h.gained.Set(s)
+	if lapsed {
+		h.lapsed.Set(s)
+	}
 }
 
 // HandOver gives up the shards of a planned move; it runs on the control
@@ -124,6 +137,7 @@
 
 func (h *Home) unload(s fleet.Shard) {
 	h.gained.Clear(s)
+	h.lapsed.Clear(s)
 	h.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, unloadTimeout)
 		defer cancel()
@@ -133,6 +147,18 @@
 	})
 }
 
+// reread gives up what is known of the shards' programs, so that it is read
+// from the table service again.
+func (h *Home) reread(ctx context.Context, shards fleet.Bitmap) {
+	ctx, cancel := context.WithTimeout(ctx, unloadTimeout)
+	defer cancel()
+	for _, s := range shards.Shards() {
+		if err := h.keeper.Unload(ctx, int(s)); err != nil {
+			h.common.Log.Warn("A shard was dropped with reservations.", "shard", s, "error", err)
+		}
+	}
+}
+
 // takeOver asks every other instance for the turns it runs, then lets the
 // shards' turns start.
 func (h *Home) takeOver(ctx context.Context, shards fleet.Bitmap) {
