Keep the detection of dead peers apart from the heartbeat

Seat holders that are gone are forgotten. The world of the limit tests beats once a second as the settings do.

--- a/fleet/book.go
+++ b/fleet/book.go
@@ -42,7 +42,13 @@
 // Sent notes a request to a holder. The time must be read before the request
 // is sent.
 func (b *Book) Sent(holder string, id uint64, now time.Time) {
-	b.holder(holder).sent[id] = now
+	d := b.holder(holder)
+	for old, sent := range d.sent {
+		if now.Sub(sent) >= forgetAfter {
+			delete(d.sent, old)
+		}
+	}
+	d.sent[id] = now
 }
 
 // Received applies a holder's reply; it returns false if the reply is late or
@@ -93,7 +99,10 @@
 // Tick recomputes the shards of the delegations that are about to lapse.
 func (b *Book) Tick(now time.Time) {
 	var due Bitmap
-	for _, d := range b.holders {
+	for name, d := range b.holders {
+		if d.idle(now) {
+			delete(b.holders, name)
+		}
 		if d.granted.Empty() || now.Add(b.guard).Before(d.until) {
 			continue
 		}
@@ -109,6 +118,11 @@
 	}
 }
 
+// idle says that nothing came from the holder for long and nothing is awaited.
+func (d *delegation) idle(now time.Time) bool {
+	return d.granted.Empty() && len(d.sent) == 0 && now.Sub(d.until) >= forgetAfter
+}
+
 // Of returns the authority over a shard at a moment.
 func (b *Book) Of(s Shard, now time.Time) Authority { return b.authority[s].At(now) }
 
@@ -141,13 +155,6 @@
 	return changed
 }
 
-// Forget drops a holder that is gone.
-func (b *Book) Forget(holder string) {
-	if d := b.holders[holder]; d != nil && d.granted.Empty() {
-		delete(b.holders, holder)
-	}
-}
-
 func (b *Book) holder(name string) *delegation {
 	d := b.holders[name]
 	if d == nil {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 )
 
@@ -48,23 +47,32 @@
 }
 
 func (f *Fleet) exchange(m *member, now time.Time) Exchange {
-	interval := f.interval()
-	if m.failures > 0 || m.failed {
-		interval = f.config.HeartbeatInterval
-	}
-	m.nextProbe = now.Add(f.jitter(interval))
+	m.nextProbe = now.Add(f.jitter(f.intervalTo(m)))
 	m.probeOnce = false
 	r := f.request(m.instance.Name, now)
-	if m.seats == 0 {
+	if m.seats > 0 {
+		f.book.Sent(m.instance.Name, r.ID, now)
+	} else {
 		r.Shards = Bitmap{}
 		r.Releases = nil
 	}
-	f.book.Sent(m.instance.Name, r.ID, now)
 	f.pending[r.ID] = pendingExchange{peer: m.instance.Name, sent: now}
 	f.traffic.sent(r.WireBytes())
 	return Exchange{Peer: m.instance, Request: r}
 }
 
+// intervalTo is the time until the next exchange with a member.
+func (f *Fleet) intervalTo(m *member) time.Duration {
+	switch {
+	case m.failed:
+		return f.config.HeartbeatInterval
+	case m.failures > 0:
+		return min(retryProbe, f.config.HeartbeatInterval)
+	default:
+		return f.interval()
+	}
+}
+
 func (f *Fleet) request(holder string, now time.Time) PullRequest {
 	f.nextID++
 	return PullRequest{
@@ -110,68 +118,15 @@
 	}
 }
 
-// expire fails the exchanges that had no reply for too long.
+// expire counts the exchanges that had no reply for too long as failures. What
+// a late reply delegates still counts from when the request was sent.
 func (f *Fleet) expire(now time.Time) {
 	for id, p := range f.pending {
 		if now.Sub(p.sent) >= exchangeTimeout {
-			f.Failed(p.peer, id, now)
-		}
-	}
-}
-
-// handOver gives up the shards that have authority here and a home elsewhere.
-func (f *Fleet) handOver(now time.Time) []Handover {
-	var out []Handover
-	for _, s := range f.book.heldShards().Shards() {
-		home := f.membership.home(s)
-		if home == f.config.Self.Name || home == "" || f.book.Of(s, now).Seats == 0 {
-			continue
-		}
-		at := slices.IndexFunc(out, func(h Handover) bool { return h.To.Name == home })
-		if at < 0 {
-			at = len(out)
-			out = append(out, Handover{ID: f.rng.Uint64() | 1, To: f.membership.byName[home].instance})
+			delete(f.pending, id)
+			f.observe(p.peer, false, now)
 		}
-		out[at].Shards.Set(s)
 	}
-	for _, h := range out {
-		f.begin(h, now)
-	}
-	return out
-}
-
-// begin gives the shards of a handover up and remembers to tell the holders.
-func (f *Fleet) begin(h Handover, now time.Time) {
-	f.handovers = append(f.handovers, activeHandover{
-		release: Release{Handover: h.ID, To: h.To.Name, Shards: h.Shards},
-		acked:   f.book.Acked(),
-		until:   now.Add(promised(f.ttl())),
-	})
-	f.book.Release(h.Shards, f.nextID+1, now)
-}
-
-// releases are the handovers as one holder must hear of them.
-func (f *Fleet) releases(holder string, now time.Time) []Release {
-	f.dropHandovers(now)
-	own := f.membership.own
-	var releases []Release
-	for _, h := range f.handovers {
-		r := h.release
-		r.Acked = h.acked[holder]
-		for i := range r.Shards {
-			r.Shards[i] &^= own[i]
-		}
-		if !r.Shards.Empty() {
-			releases = append(releases, r)
-		}
-	}
-	return releases
-}
-
-func (f *Fleet) dropHandovers(now time.Time) {
-	f.handovers = slices.DeleteFunc(f.handovers, func(h activeHandover) bool {
-		return !now.Before(h.until)
-	})
 }
 
 func (f *Fleet) jitter(d time.Duration) time.Duration {
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -9,11 +9,16 @@
 const (
 	// failureCount is the fewest failures in a row that make a peer unfit.
 	failureCount = 2
-	// failAfterBeats is how long a peer may go unheard, in heartbeats.
-	failAfterBeats = 3
-	// returnAfterBeats is how long a peer that failed must answer before it is
-	// fit again, in heartbeats.
-	returnAfterBeats = 4
+	// failAfter is how long a peer may give no answer.
+	failAfter = 1500 * time.Millisecond
+	// failingFor is how long its failures must go on, so that a short freeze of
+	// one's own is not taken for a failure of the peer.
+	failingFor = 500 * time.Millisecond
+	// retryProbe is the time between two requests to a peer that fails.
+	retryProbe = 400 * time.Millisecond
+	// returnAfter is how long a peer that failed must answer before it is fit
+	// again.
+	returnAfter = 2 * time.Second
 	// forgetAfter is how long an instance that is neither listed nor heard stays
 	// known.
 	forgetAfter = 10 * time.Second
@@ -68,17 +73,17 @@
 }
 
 // judge moves the member between failed and good.
-func (m *member) judge(beat time.Duration, now time.Time) {
+func (m *member) judge(now time.Time) {
 	if m.failed {
-		back := !m.goodSince.IsZero() && now.Sub(m.goodSince) >= returnAfterBeats*beat
+		back := !m.goodSince.IsZero() && now.Sub(m.goodSince) >= returnAfter
 		m.failed = !back
 		return
 	}
 	if m.failures < failureCount {
 		return
 	}
-	quiet := now.Sub(m.answered) >= failAfterBeats*beat
-	failing := now.Sub(m.failingSince) >= (failAfterBeats-1)*beat
+	quiet := now.Sub(m.answered) >= failAfter
+	failing := now.Sub(m.failingSince) >= failingFor
 	m.failed = quiet && failing
 }
 
--- a/fleet/membership.go
+++ b/fleet/membership.go
@@ -143,7 +143,7 @@
 		return
 	}
 	m.fail(now)
-	m.nextProbe = minTime(m.nextProbe, now.Add(ms.beat))
+	m.nextProbe = minTime(m.nextProbe, now.Add(retryProbe))
 }
 
 // refresh judges all members and says whether the homes changed.
@@ -171,9 +171,9 @@
 
 // review judges a member and says whether its fitness changed.
 func (ms *membership) review(m *member, now time.Time) bool {
-	m.judge(ms.beat, now)
+	m.judge(now)
 	m.domainOut = slices.Contains(ms.domainsOut, m.instance.FailureDomain)
-	m.presumable = len(ms.members) > MeshLimit || now.Sub(ms.started) < failAfterBeats*ms.beat
+	m.presumable = len(ms.members) > MeshLimit || now.Sub(ms.started) < failAfter
 	fit := ms.judgeFit(m, now)
 	changed := fit != m.fit
 	m.fit = fit
--- a/limit/world_test.go
+++ b/limit/world_test.go
@@ -161,7 +161,7 @@
 	n.asks = make(map[uint64]*ask)
 	n.served = make(map[uint64]*served)
 	n.fleet = fleet.NewFleet(fleet.Config{
-		Self: n.in, Epoch: n.w.rng.Uint64() | 1, HeartbeatInterval: 500 * time.Millisecond,
+		Self: n.in, Epoch: n.w.rng.Uint64() | 1, HeartbeatInterval: time.Second,
 		DelegationTTL: 3 * time.Second, SeatTTL: n.w.seatTTL, IsolationTimeout: 2 * time.Second,
 	}, n.clock(), rand.New(rand.NewPCG(n.w.rng.Uint64(), 2)))
 	n.buckets = limit.NewBuckets()
