Give back the turn of a call whose asker has left

Cause: a Start that was made while its asker left, or that was lost on the way, held the program's turn until the call's deadline.

Change: Keeper.Begin withdraws such a call itself. For a Start lost on the way, an EndRequest without a turn and with another outcome than completed withdraws the call, from the queue as well.

Figures, planted and seen: without Keeper's withdrawal TestAskerThatLeftHolds NoTurn fails with "1 running"; without the queue's part or with a turn asked for, TestWithdrawnCallGivesItsPlaceBack fails.

Conclusion: callers' relays should withdraw a Begin that they give up.

--- a/prog/core.go
+++ b/prog/core.go
@@ -58,7 +58,8 @@
 
 // End reports how a call ended.
 func (c *Core) End(t Ticket, r EndRequest, now time.Time) []Action {
-	if !validProgram(r.Program) || r.Turn < 1 {
+	withdraws := r.Turn == 0 && r.Outcome != OutcomeCompleted
+	if !validProgram(r.Program) || r.Turn < 1 && !withdraws {
 		c.replyEnd(t, &EndReply{Refusal: refuse(ReasonInvalid)})
 		return c.take()
 	}
--- a/prog/core_test.go
+++ b/prog/core_test.go
@@ -387,6 +387,24 @@
 	assert.Assert(t, ended)
 }
 
+func TestWithdrawnCallGivesItsPlaceBack(t *testing.T) {
+	l := newLab(t, "a", store.NewMemory())
+	l.open("p-1", testBudget, false)
+	l.start(callOf("p-1", "c1"))
+	for _, id := range []string{"c2", "c3"} {
+		assert.Assert(t, l.begin(callOf("p-1", id)) == nil)
+	}
+	third := l.ticket
+	for _, id := range []string{"c2", "c1"} {
+		r := callOf("p-1", id)
+		end := EndRequest{Program: "p-1", Team: "team", CallID: id, Attempt: r.Attempt, Outcome: OutcomeCancelled}
+		assert.Assert(t, l.end(end).Kept)
+	}
+	assert.Equal(t, l.replies[third-1].Begin.Refusal.Reason, ReasonCancelled)
+	assert.Equal(t, l.replies[third].Begin.Start.Turn, 1)
+	assert.Equal(t, l.end(EndRequest{Program: "p-1", Team: "team", Outcome: OutcomeCompleted}).Refusal.Reason, ReasonInvalid)
+}
+
 func TestDumpShowsWhatWaits(t *testing.T) {
 	l := newLab(t, "a", store.NewMemory())
 	l.open("p-1", testBudget, false)
--- a/prog/coreend.go
+++ b/prog/coreend.go
@@ -36,6 +36,7 @@
 // endWithoutAnswer settles a call that adds nothing to the history. What it
 // used lies below the mark, so that it need not be committed at once.
 func (c *Core) endWithoutAnswer(f *family, a *agent, r *EndRequest) {
+	c.unqueue(a, r)
 	run := a.running
 	if run == nil || !run.is(r) {
 		return
@@ -50,6 +51,17 @@
 	c.releaseEnded(f, a)
 }
 
+// unqueue takes a withdrawn call out of the queue.
+func (c *Core) unqueue(a *agent, r *EndRequest) {
+	a.queue = slices.DeleteFunc(a.queue, func(e *entry) bool {
+		withdrawn := r.Turn == 0 && e.request.CallID == r.CallID && e.request.Attempt == r.Attempt
+		if withdrawn {
+			c.refuseBegin(e.ticket, ReasonCancelled)
+		}
+		return withdrawn
+	})
+}
+
 // endAgain answers a report for a turn that is taken: by the same report, or
 // by another.
 func (c *Core) endAgain(a *agent, t Ticket, r *EndRequest, now time.Time) {
@@ -132,7 +144,7 @@
 
 // is reports whether a report is that of the running call.
 func (r *running) is(e *EndRequest) bool {
-	return r.start.Turn == e.Turn &&
+	return (e.Turn == 0 || e.Turn == r.start.Turn) &&
 		r.request.CallID == e.CallID &&
 		r.request.Attempt == e.Attempt
 }
--- a/prog/keeper.go
+++ b/prog/keeper.go
@@ -82,15 +82,30 @@
 }
 
 // Begin waits for the program's turn. An error means that the asker left and
-// that the call was not started, or that its Start was lost and the same
-// Attempt may be sent again.
+// that the call was not started.
 func (k *Keeper) Begin(ctx context.Context, r BeginRequest) (*BeginReply, error) {
 	reply, err := k.ask(ctx, r.Program, func(t Ticket, now time.Time) []Action {
 		return k.core.Begin(t, r, now)
 	})
+	if err == nil && ctx.Err() != nil && reply.Begin.Start != nil {
+		k.withdraw(&r)
+		return nil, errors.Trace(ctx.Err())
+	}
 	return reply.Begin, err
 }
 
+// withdraw gives the turn of a call back whose asker has left.
+func (k *Keeper) withdraw(r *BeginRequest) {
+	end := EndRequest{
+		Program: r.Program,
+		Team:    r.Team,
+		CallID:  r.CallID,
+		Attempt: r.Attempt,
+		Outcome: OutcomeCancelled,
+	}
+	k.tell(func(now time.Time) []Action { return k.core.End(0, end, now) })
+}
+
 // End reports how a call ended and waits for the commit, up to a bound.
 func (k *Keeper) End(ctx context.Context, r EndRequest) (*EndReply, error) {
 	reply, err := k.ask(ctx, r.Program, func(t Ticket, now time.Time) []Action {
--- a/prog/keeper_test.go
+++ b/prog/keeper_test.go
@@ -32,6 +32,23 @@
 	return k
 }
 
+func TestAskerThatLeftHoldsNoTurn(t *testing.T) {
+	ctx := context.Background()
+	k := newTestKeeper(t, store.NewFake(), "a")
+	_, err := k.Open(ctx, OpenRequest{Program: "p-1", Team: "team"})
+	assert.NilError(t, err)
+	left, cancel := context.WithCancel(ctx)
+	cancel()
+	for i := range 20 { // the reply and the end of the context race
+		_, err = k.Begin(left, callOf("p-1", fmt.Sprint("c", i)))
+		assert.ErrorIs(t, err, context.Canceled)
+		assert.Equal(t, k.Dump("", 0).Running, 0)
+	}
+	reply, err := k.Begin(ctx, callOf("p-1", "last"))
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Start.Turn, 1)
+}
+
 func TestEndedPrograms(t *testing.T) {
 	ctx := context.Background()
 	fake := store.NewFake()
--- a/prog/refusal.go
+++ b/prog/refusal.go
@@ -18,6 +18,8 @@
 	ReasonTurn Reason = "unexpectedTurn"
 	// ReasonDeadline says that the call's turn did not come before its deadline.
 	ReasonDeadline Reason = "deadline"
+	// ReasonCancelled says that the asker has withdrawn the call.
+	ReasonCancelled Reason = "cancelled"
 	// ReasonStore says that the store is needed and not reachable.
 	ReasonStore Reason = "storeUnavailable"
 	// ReasonMoved says that the home gave the shard up; the next home
--- a/prog/request.go
+++ b/prog/request.go
@@ -100,6 +100,9 @@
 	EndRequest struct {
 		Program string
 		Team    string
+		// Turn is from Start. Zero, with another outcome than completed,
+		// withdraws a call whose Start the relaying instance did not get: it
+		// gives the turn or the place in the queue back.
 		Turn    int
 		CallID  string
 		Attempt string
