Make broken answers whole, count histories in budgets, wire the orders

Cause: an engine that crashed in mid-answer broke the caller's answer off; the home reserved tokens for the new messages only; with the store away every turn waited for a commit that could not come; a refusal before the claim of a call that may not be repeated said notRun although an earlier sending may have run; the orders' runner was not part of the process. Change: what another engine gives again is left out, the rest goes on; a difference ends the answer as before. The reservation includes the history. Answers go out as not kept at once while the store is away. Such a refusal says unknown. Teams share full upstreams by their grants.

--- a/boot/follow.go
+++ b/boot/follow.go
@@ -20,6 +20,7 @@
 func (f textFollower) SetText(old, text *conf.Text, now time.Time) {
 	f.node.member.SetDomainsOut(text.DomainsOut, now)
 	f.node.pools.SetText(text, now)
+	f.node.orders.SetText(text, now)
 	for _, t := range text.Teams {
 		before, ok := old.Team(t.Name)
 		if ok && grantOf(before) != grantOf(t) {
--- a/boot/life.go
+++ b/boot/life.go
@@ -15,6 +15,7 @@
 // Start runs every part.
 func (n *Node) Start() error {
 	n.startedAt = n.common.Clock.Now()
+	n.pools.Keep(n.platform)
 	n.thread.Start()
 	if err := n.seedAdminKey(); err != nil {
 		return err
@@ -69,6 +70,7 @@
 	n.quota.Close()
 	n.progs.Close()
 	n.pools.Close()
+	n.orders.Close()
 	n.thread.Close()
 	n.committer.Close()
 	n.conns.Close()
--- a/boot/node.go
+++ b/boot/node.go
@@ -25,6 +25,7 @@
 	"github.com/buckthorntide/buckthorntide/homes"
 	"github.com/buckthorntide/buckthorntide/keys"
 	"github.com/buckthorntide/buckthorntide/member"
+	"github.com/buckthorntide/buckthorntide/orders"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/pools"
 	"github.com/buckthorntide/buckthorntide/prog"
@@ -81,6 +82,7 @@
 		programs  *progs.Client
 		relayer   *pools.Relayer
 		pools     *pools.Home
+		orders    *orders.Runner
 		routes    *pools.Client
 		plain     *relay.Plain
 		peers     *peer.Server
@@ -147,13 +149,14 @@
 func (n *Node) makeHomes() {
 	epoch := strconv.FormatUint(n.epoch, 36)
 	n.keeper = prog.NewKeeper(context.Background(), prog.KeeperOptions{
-		Core:      n.programOptions(epoch),
-		Common:    n.common,
-		Table:     n.platform,
-		Objects:   n.platform,
-		Committer: groupCommit{n.committer},
-		Random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Release:   n.release,
+		Core:        n.programOptions(epoch),
+		Common:      n.common,
+		Table:       n.platform,
+		Objects:     n.platform,
+		Committer:   groupCommit{n.committer},
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Release:     n.release,
+		Unreachable: n.committer.Unreachable,
 	})
 	n.intents = prog.NewIntents(prog.IntentsOptions{
 		Common:    n.common,
@@ -173,11 +176,12 @@
 	n.router = homes.NewRouter(n.member, n.conns)
 	n.pools = pools.NewHome(n.common, n.thread, n.conns, n.relayer, n.engines,
 		progs.NewLives(n.router, n.progs), n.newPolicy)
-	n.member.Follow(n.quota, n.progs, n.pools)
+	n.orders = orders.NewRunner(n.common, n.self.Name+"/"+epoch, n.thread, n.platform, n.engines)
+	n.member.Follow(n.quota, n.progs, n.pools, n.orders)
 	n.progs.Follow(n.member)
 	n.pools.Follow(n.member)
 	n.spread.Follow(n.member, textFollower{n})
-	for _, system := range []ctrl.System{n.member, n.spread, n.quota, n.progs, n.pools} {
+	for _, system := range []ctrl.System{n.member, n.spread, n.quota, n.progs, n.pools, n.orders} {
 		n.thread.Add(system)
 	}
 }
--- a/calls/chat.go
+++ b/calls/chat.go
@@ -100,14 +100,10 @@
 	return json.Marshal(fields)
 }
 
-// PromptTokens estimates the tokens of the history and the new messages.
-func (q *ChatRequest) PromptTokens(history []prog.Message) int64 {
-	return estimateTokens(history) + estimateTokens(q.Messages)
-}
-
-func estimateTokens(messages []prog.Message) int64 {
+// PromptTokens estimates the tokens of the new messages.
+func (q *ChatRequest) PromptTokens() int64 {
 	var bytes int64
-	for _, m := range messages {
+	for _, m := range q.Messages {
 		bytes += int64(len(m.Body))
 	}
 	return bytes / bytesPerToken
--- a/calls/model.go
+++ b/calls/model.go
@@ -122,9 +122,10 @@
 		body    []byte
 		// begun says that the sink has been told to begin.
 		begun bool
-		// delivered is the number of chunks that the sink has taken.
-		delivered int
-		tries     tries
+		// position is the number of chunks that the current attempt gave.
+		position int
+		splice   splice
+		tries    tries
 	}
 )
 
@@ -192,7 +193,7 @@
 
 // alone runs a call that belongs to no program.
 func (r *run) alone(ctx context.Context) *Refusal {
-	r.start.ReservedTokens = r.call.Request.PromptTokens(nil) + r.call.Request.MaxTokens
+	r.start.ReservedTokens = r.call.Request.PromptTokens() + r.call.Request.MaxTokens
 	if refusal := r.attempts(ctx); refusal != nil {
 		return refusal
 	}
@@ -236,7 +237,7 @@
 
 func (r *run) beginRequest() *prog.BeginRequest {
 	request := r.call.Request
-	prompt := request.PromptTokens(nil)
+	prompt := request.PromptTokens()
 	return &prog.BeginRequest{
 		Program:         r.call.Program,
 		Team:            r.call.Caller.Team.Name,
@@ -247,6 +248,7 @@
 		Digest:          r.call.Digest,
 		EstimatedTokens: prompt + request.MaxTokens,
 		MinimumTokens:   prompt + 1,
+		WithHistory:     true,
 		ExpectedTurn:    r.call.ExpectedTurn,
 		Deadline:        r.call.Deadline,
 	}
@@ -268,7 +270,7 @@
 		Previous: r.start.Previous,
 		Outcome:  outcome,
 	}
-	if r.delivered > 0 || outcome == prog.OutcomeCompleted {
+	if r.begun || outcome == prog.OutcomeCompleted {
 		r.answer.settle(r.prompt)
 		q.PromptTokens = r.answer.Usage.PromptTokens
 		q.AnswerTokens = r.answer.Usage.AnswerTokens
@@ -327,8 +329,8 @@
 // attempts sends the call to one upstream after another until one has given
 // the whole answer or the pool says no.
 func (r *run) attempts(ctx context.Context) *Refusal {
-	r.prompt = r.call.Request.PromptTokens(r.start.History)
-	maxTokens := min(r.call.Request.MaxTokens, max(1, r.start.ReservedTokens-r.call.Request.PromptTokens(nil)))
+	r.prompt = r.start.HistoryTokens + r.call.Request.PromptTokens()
+	maxTokens := min(r.call.Request.MaxTokens, max(1, r.start.ReservedTokens-r.prompt))
 	body, err := r.call.Request.EngineBody(r.start.History, maxTokens)
 	if err != nil {
 		return NewRefusal(http.StatusBadRequest, "badRequest", "the body can't be passed on")
@@ -384,7 +386,7 @@
 		call.Root = prog.RootOf(r.call.Program)
 	}
 	for _, name := range r.start.CachedOn {
-		call.CachedOn = append(call.CachedOn, route.Hint{Upstream: name, Tokens: int(estimateTokens(r.start.History))})
+		call.CachedOn = append(call.CachedOn, route.Hint{Upstream: name, Tokens: int(r.start.HistoryTokens)})
 	}
 	return call
 }
@@ -393,10 +395,11 @@
 // upstream may be tried.
 func (r *run) attempt(ctx context.Context, id string, a route.Assign) (route.Report, *Refusal) {
 	report := route.Report{Call: id, Upstream: a.Upstream, Attempt: a.Attempt, Relay: r.self}
+	r.restart(a)
 	sent := r.common.Clock.Now()
 	err := r.stream(ctx, id, a, func() { report.FirstToken = r.common.Clock.Now().Sub(sent) })
 	report.Outcome = outcomeOf(ctx, err)
-	report.Delivered = r.delivered > 0
+	report.Delivered = !r.splice.possible()
 	report.Tokens = int(r.answer.Usage.AnswerTokens)
 	report.CachedTokens = r.answer.Usage.cached()
 	if err == nil {
@@ -407,7 +410,7 @@
 		return report, refuseLeft(ctx, report.Outcome)
 	}
 	r.common.Log.Info("An attempt failed.", "upstream", a.Upstream, "error", err)
-	if r.delivered > 0 {
+	if report.Delivered {
 		return report, &Refusal{
 			Status:   http.StatusBadGateway,
 			Code:     "upstreamLost",
@@ -418,6 +421,17 @@
 	return report, nil
 }
 
+// restart prepares for the next attempt, which runs the call from its start
+// unless it is taken up at the same engine.
+func (r *run) restart(a route.Assign) {
+	if a.Resume {
+		return
+	}
+	r.position = 0
+	r.answer = Answer{}
+	r.splice.restart()
+}
+
 // stream relays one attempt's chunks and takes its stream up again at the same
 // upstream when the connection breaks.
 func (r *run) stream(ctx context.Context, id string, a route.Assign, first func()) error {
@@ -440,7 +454,7 @@
 			return err
 		}
 		broken := err
-		if stream, err = r.engines.Resume(ctx, target, requestID, r.delivered); err != nil {
+		if stream, err = r.engines.Resume(ctx, target, requestID, r.position); err != nil {
 			return broken
 		}
 	}
@@ -448,7 +462,7 @@
 
 func (r *run) open(ctx context.Context, target engine.Target, requestID string, a route.Assign) (*engine.Stream, error) {
 	if a.Resume {
-		return r.engines.Resume(ctx, target, requestID, r.delivered)
+		return r.engines.Resume(ctx, target, requestID, r.position)
 	}
 	return r.engines.Complete(ctx, target, engine.Completion{
 		RequestID: requestID,
@@ -475,18 +489,27 @@
 		if err != nil {
 			return err
 		}
-		if r.delivered == 0 {
+		if r.position == 0 {
 			first()
 			r.begin()
 		}
+		r.position++
+		before := r.answer.Text()
 		r.answer.Add(chunk.Data)
-		r.delivered++
-		if err := r.sink.Chunk(chunk.Data); err != nil {
+		rest, err := r.splice.pass(before, &r.answer, chunk.Data)
+		if err != nil {
+			return err
+		}
+		if rest == nil {
+			continue
+		}
+		if err := r.sink.Chunk(rest); err != nil {
 			return errors.WithType(err, errCallerLeft)
 		}
 	}
 }
 
+// resumable tells a stream that may be taken up where it broke.
 func resumable(err error) bool {
 	return errors.Is(err, engine.ErrTruncated) || errors.Is(err, engine.ErrGap)
 }
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -107,7 +107,7 @@
 func (p *Plain) Call(ctx context.Context, call PlainCall) (PlainResult, *Refusal) {
 	if call.Caller.Team.Name != "" {
 		if refusal := takeToken(ctx, p.limits, call.Caller); refusal != nil {
-			return PlainResult{}, refusal
+			return PlainResult{}, call.beforeClaim(refusal)
 		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
@@ -123,15 +123,16 @@
 func (r *plainRun) inProgram(ctx context.Context) (PlainResult, *Refusal) {
 	reply, err := r.programs.Begin(ctx, r.beginRequest())
 	if err != nil {
-		return PlainResult{}, refuseUnavailable(r.unclaimedState(), "the program's home did not answer")
+		return PlainResult{}, r.call.beforeClaim(refuseUnavailable(NotRun, "the program's home did not answer"))
 	}
 	switch {
 	case reply.Refusal != nil:
-		return PlainResult{}, refuseProgram(reply.Refusal)
+		return PlainResult{}, r.call.beforeClaim(refuseProgram(reply.Refusal))
 	case reply.Replay != nil:
 		return replayTurn(reply.Replay)
 	case reply.Start == nil:
-		return PlainResult{}, refuseProgram(&prog.Refusal{Reason: prog.ReasonDeadline, RunState: prog.NotRun})
+		late := &prog.Refusal{Reason: prog.ReasonDeadline, RunState: prog.NotRun}
+		return PlainResult{}, r.call.beforeClaim(refuseProgram(late))
 	}
 	r.start = *reply.Start
 	ctx, cancel := context.WithTimeout(ctx, r.start.TimeLeft)
@@ -149,13 +150,14 @@
 	return result, nil
 }
 
-// unclaimedState is what is known of a call before it was claimed here: an
-// earlier sending with the caller's key may have run.
-func (r *plainRun) unclaimedState() RunState {
-	if r.call.Generated || r.call.Route.Repeatable {
-		return NotRun
+// beforeClaim makes a refusal that came before the call was claimed say what is
+// known: of a call that may not be repeated, an earlier sending with the
+// caller's key may have run.
+func (c *PlainCall) beforeClaim(refusal *Refusal) *Refusal {
+	if refusal.RunState == NotRun && !c.Generated && !c.Route.Repeatable {
+		refusal.RunState = Unknown
 	}
-	return Unknown
+	return refusal
 }
 
 func (r *plainRun) beginRequest() *prog.BeginRequest {
--- a/pools/home.go
+++ b/pools/home.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/route"
+	"github.com/buckthorntide/buckthorntide/store"
 )
 
 const (
@@ -39,6 +40,7 @@
 		Configure(service conf.Service, domainsOut []string, now time.Time) []route.Decision
 		SetAuthority(exclusive bool, now time.Time) []route.Decision
 		SetAdmission(newPrograms bool)
+		SetWeights(weights []route.TeamWeight)
 		SettleUntil(relays []string, until time.Time)
 		Adopt(s route.RelayState, now time.Time) []route.Decision
 		Forget(relay string, now time.Time) []route.Decision
@@ -68,6 +70,7 @@
 		newPolicy NewPolicy
 		engines   Engines
 		programs  Lives
+		table     store.Table
 		text      *conf.Text
 		authority [fleet.ShardCount]fleet.Authority
 		services  map[string]*service
@@ -91,6 +94,7 @@
 		nextSweep time.Time
 		sweeping  bool
 		sweeper   *engine.Sweeper
+		suspects  suspectState
 	}
 )
 
@@ -146,13 +150,24 @@
 			continue
 		}
 		s.config = config
-		h.apply(s, s.policy.Configure(config, text.DomainsOut, now))
+		h.configure(s, now)
 	}
 	for s := range h.authority {
 		h.follow(fleet.Shard(s), now)
 	}
 }
 
+// configure brings one policy into line with the text. Teams share full
+// upstreams by what they have been granted.
+func (h *Home) configure(s *service, now time.Time) {
+	weights := make([]route.TeamWeight, 0, len(h.text.Teams))
+	for _, t := range h.text.Teams {
+		weights = append(weights, route.TeamWeight{Team: t.Name, Weight: t.RatePerSecond})
+	}
+	s.policy.SetWeights(weights)
+	h.apply(s, s.policy.Configure(s.config, h.text.DomainsOut, now))
+}
+
 // SetAuthority follows the fleet; it runs on the control thread.
 func (h *Home) SetAuthority(s fleet.Shard, a fleet.Authority, now time.Time) {
 	h.dropLapsed(s, now)
@@ -180,6 +195,7 @@
 		h.apply(s, s.policy.Tick(now))
 		h.probe(s, now)
 		h.sweep(s, now)
+		h.keepSuspects(s, now)
 	}
 }
 
@@ -223,6 +239,7 @@
 		probing: make(map[string]bool),
 		sweeper: engine.NewSweeper(engine.DefaultSweepLimits()),
 	}
+	s.suspects.asked = make(chan struct{})
 	h.services[config.Name] = s
 	members := h.viewer.View().Members
 	names := make([]string, 0, len(members))
@@ -231,7 +248,7 @@
 	}
 	s.askedUntil = now.Add(relayedTimeout + settleTime)
 	s.policy.SettleUntil(names, now.Add(settleTime))
-	h.apply(s, s.policy.Configure(config, h.text.DomainsOut, now))
+	h.configure(s, now)
 	for _, m := range members {
 		h.group.Go(func(ctx context.Context) { h.askRelayed(ctx, m, config.Name) })
 	}
@@ -365,6 +382,9 @@
 }
 
 func (h *Home) submit(ctx context.Context, q *SubmitMessage) (*SubmitReply, error) {
+	if err := h.awaitSuspects(ctx, q.Service); err != nil {
+		return nil, err
+	}
 	c := make(chan route.Decision, 1)
 	known := false
 	err := h.thread.Do(ctx, func(now time.Time) {
--- a/prog/core.go
+++ b/prog/core.go
@@ -17,9 +17,11 @@
 	families *table.Table[string, family]
 	wakes    wakeHeap
 	held     map[int]struct{}
-	count    int64
-	actions  []Action
-	stats    Stats
+	// storeAway says that the store is known not to answer.
+	storeAway bool
+	count     int64
+	actions   []Action
+	stats     Stats
 }
 
 // Stats counts what a Core has done since its start.
@@ -104,6 +106,17 @@
 	return c.route(r.Program, parked{ticket: t, open: &r}, now)
 }
 
+// SetStoreAway says whether the store is known not to answer: then nothing
+// waits for a commit before it is answered as not kept.
+func (c *Core) SetStoreAway(away bool) { c.storeAway = away }
+
+func (c *Core) keptBound() time.Duration {
+	if c.storeAway {
+		return 0
+	}
+	return c.options.KeptBound
+}
+
 // Tick does what has become due.
 func (c *Core) Tick(now time.Time) []Action {
 	changed := c.families.TakeChanged()
--- a/prog/corebegin.go
+++ b/prog/corebegin.go
@@ -119,7 +119,7 @@
 			a.queue = slices.Delete(a.queue, 0, 1)
 			continue
 		}
-		want := f.ledger.want(&e.request)
+		want := f.ledger.want(a.demand(&e.request))
 		if !f.ledger.Committed().Add(want).Within(f.ledger.Mark) {
 			f.need = want
 			return // the next commit raises the mark
@@ -143,7 +143,7 @@
 	case e.request.ExpectedTurn != 0 && e.request.ExpectedTurn != a.next():
 		reason = ReasonTurn
 	default:
-		reason = f.ledger.lacks(&e.request)
+		reason = f.ledger.lacks(a.demand(&e.request))
 	}
 	if reason == "" {
 		return false
@@ -169,6 +169,7 @@
 		Previous:       a.head(),
 		History:        a.history(),
 		ReservedTokens: want.Tokens,
+		HistoryTokens:  a.historyTokens(),
 		TimeLeft:       f.ledger.TimeLeft(now),
 		CachedOn:       slices.Clone(a.engines),
 		Attained:       f.ledger.Spent.Sub(f.ledger.Dead).Tokens,
--- a/prog/coreend.go
+++ b/prog/coreend.go
@@ -116,7 +116,7 @@
 	}
 	done.pending.waiters = append(done.pending.waiters, waiter{
 		ticket:  t,
-		until:   now.Add(c.options.KeptBound),
+		until:   now.Add(c.keptBound()),
 		kept:    Reply{End: &EndReply{Kept: true}},
 		notKept: Reply{End: &EndReply{}},
 	})
--- a/prog/coreopen.go
+++ b/prog/coreopen.go
@@ -120,7 +120,7 @@
 	}
 	f.waiters = append(f.waiters, waiter{
 		ticket:   t,
-		until:    now.Add(c.options.KeptBound),
+		until:    now.Add(c.keptBound()),
 		revision: f.revision,
 		kept:     kept,
 		notKept:  notKept,
--- a/prog/family.go
+++ b/prog/family.go
@@ -148,6 +148,31 @@
 	return 0
 }
 
+// historyTokens is how many tokens of a prompt the history makes: what the
+// latest model turn's prompt and answer were.
+func (a *agent) historyTokens() int64 {
+	for _, t := range slices.Backward(a.turns) {
+		if t.kind == KindModel {
+			return t.usage.Tokens
+		}
+	}
+	return 0
+}
+
+// demand returns the request with the tokens of the history in it, if it asks
+// for that.
+func (a *agent) demand(r *BeginRequest) *BeginRequest {
+	if !r.WithHistory {
+		return r
+	}
+	whole := *r
+	whole.EstimatedTokens += a.historyTokens()
+	if whole.MinimumTokens > 0 {
+		whole.MinimumTokens += a.historyTokens()
+	}
+	return &whole
+}
+
 func (a *agent) history() []Message {
 	count := 0
 	for _, t := range a.turns {
--- a/prog/keeper.go
+++ b/prog/keeper.go
@@ -21,6 +21,7 @@
 		objects   store.Objects
 		committer Committer
 		timeout   time.Duration
+		away      func() bool
 		release   func(Release)
 		group     *group.Group
 
@@ -39,6 +40,8 @@
 		Objects   store.Objects
 		Committer Committer
 		Random    *rand.Rand
+		// Unreachable says that the last write got no answer; nil means never.
+		Unreachable func() bool
 		// Release is called, outside of locks, for each program whose cache
 		// the engines may drop. It must not block.
 		Release func(Release)
@@ -54,6 +57,7 @@
 		objects:   o.Objects,
 		committer: o.Committer,
 		timeout:   time.Duration(o.Common.Settings.StoreTimeout),
+		away:      o.Unreachable,
 		release:   o.Release,
 		group:     group.NewGroup(ctx),
 		core:      NewCore(o.Core),
@@ -129,7 +133,12 @@
 }
 
 // Tick does what has become due.
-func (k *Keeper) Tick() { k.tell(k.core.Tick) }
+func (k *Keeper) Tick() {
+	k.tell(func(now time.Time) []Action {
+		k.core.SetStoreAway(k.away != nil && k.away())
+		return k.core.Tick(now)
+	})
+}
 
 // Cached notes that an engine holds a program's prefix.
 func (k *Keeper) Cached(program, engine string) {
--- a/prog/request.go
+++ b/prog/request.go
@@ -50,6 +50,9 @@
 		Digest string
 		// EstimatedTokens is the most tokens, prompt and answer, to reserve.
 		EstimatedTokens int64
+		// WithHistory adds the tokens of the program's history to the estimate
+		// and to the minimum; the asker does not know them.
+		WithHistory bool
 		// MinimumTokens is the fewest tokens that the call can do with; zero
 		// means EstimatedTokens.
 		MinimumTokens int64
@@ -79,6 +82,8 @@
 		// ReservedTokens is the most tokens, prompt and answer, that the call
 		// may use.
 		ReservedTokens int64
+		// HistoryTokens is how many tokens of a prompt the history makes.
+		HistoryTokens int64
 		// TimeLeft is what is left of the program's time.
 		TimeLeft time.Duration
 		// CachedOn names the engines that hold the program's prefix, the
