--- a/boot/node.go
+++ b/boot/node.go
@@ -178,6 +178,7 @@
 		progs.NewLives(n.router, n.progs), n.newPolicy)
 	n.orders = orders.NewRunner(n.common, n.self.Name+"/"+epoch, n.thread, n.platform, n.engines)
 	n.member.Follow(n.quota, n.progs, n.pools, n.orders)
+	n.quota.Follow(n.member)
 	n.progs.Follow(n.member)
 	n.pools.Follow(n.member)
 	n.spread.Follow(n.member, textFollower{n})
--- a/quota/home.go
+++ b/quota/home.go
@@ -35,11 +35,17 @@
 	// LevelsReply acknowledges a LevelsRequest.
 	LevelsReply struct{}
 
+	// Hurrier gathers authority at once after a planned handover.
+	Hurrier interface {
+		Hurry(now time.Time)
+	}
+
 	// Home answers for the teams whose home this instance is.
 	Home struct {
 		common  *common.Common
 		thread  *ctrl.Thread
 		conns   *peer.Conns
+		hurrier Hurrier
 		buckets *limit.Buckets
 		waiting map[uint64]chan limit.TakeReply
 		// authority holds the shards that this instance may mint for.
@@ -61,6 +67,10 @@
 	}
 }
 
+// Follow sets who gathers authority; it must be called before the control
+// thread starts.
+func (h *Home) Follow(hurrier Hurrier) { h.hurrier = hurrier }
+
 // Close waits for handovers that are under way.
 func (h *Home) Close() { h.group.Close() }
 
@@ -139,11 +149,19 @@
 		return nil, peer.NotHome()
 	}
 	if reply.Verdict != limit.Waiting {
-		return &reply, nil
+		return final(reply)
 	}
 	return h.await(ctx, q, c)
 }
 
+// final sends the asker of a shard that was handed over to the next home.
+func final(reply limit.TakeReply) (*limit.TakeReply, error) {
+	if reply.Verdict == limit.Moved {
+		return nil, peer.NotHome()
+	}
+	return &reply, nil
+}
+
 func (h *Home) isHome(s fleet.Shard, now time.Time) bool {
 	return h.authority[s].At(now).Seats > 0
 }
@@ -151,7 +169,7 @@
 func (h *Home) await(ctx context.Context, q *limit.TakeRequest, c chan limit.TakeReply) (*limit.TakeReply, error) {
 	select {
 	case reply := <-c:
-		return &reply, nil
+		return final(reply)
 	case <-ctx.Done():
 		_ = h.thread.Post(context.WithoutCancel(ctx), func(time.Time) {
 			if h.waiting[q.ID] != c {
@@ -169,6 +187,7 @@
 		for _, l := range q.Levels {
 			h.buckets.Import(l, now)
 		}
+		h.hurrier.Hurry(now)
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
