--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"runtime"
+	"strconv"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -105,3 +107,36 @@
 		assert.NilError(b, err)
 	}
 }
+
+// BenchmarkConnMemory measures what a connection takes at both ends together:
+// go test ./peer -run '^$' -bench ConnMemory -benchtime 1x.
+func BenchmarkConnMemory(b *testing.B) {
+	for _, count := range []int{10, 50, 200} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			servers := make([]*peer.Server, count)
+			for i := range servers {
+				servers[i] = newServer(b)
+			}
+			for b.Loop() {
+				before := memoryInUse()
+				conns := peer.NewConns(metrics.NewRegistry())
+				for _, s := range servers {
+					conn, err := conns.To(s.Address())
+					assert.NilError(b, err)
+					_, err = double.Call(b.Context(), conn, &question{Number: 4})
+					assert.NilError(b, err)
+				}
+				b.ReportMetric(float64(memoryInUse()-before)/float64(count), "B/connection")
+				conns.Close()
+			}
+		})
+	}
+}
+
+// memoryInUse returns the bytes of live objects and of goroutines' stacks.
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
