Name a request by its whole prompt, and prove that poison is stopped

Cause: a request was known by its new messages alone. Where two engines crash in a row, callers who say the same short thing in other conversations were refused with the poisonous one; a caller that sent its turn again and again used its program's calls up.

Change: a request is named by its team and its whole prompt. A test sends a request that crashes every engine again and again, also after the controller was killed, while others talk.

--- a/calls/model.go
+++ b/calls/model.go
@@ -376,7 +376,7 @@
 		AttainedService: r.start.Attained,
 		RunningProgram:  r.start.Turn > 1,
 		Repeatable:      true,
-		Fingerprint:     xxhash.Sum64String(r.call.Digest),
+		Fingerprint:     r.fingerprint(),
 		Deadline:        r.call.Deadline,
 		Attempts:        r.tries.last.Attempt,
 		Begun:           r.tries.begun,
@@ -391,6 +391,15 @@
 	return call
 }
 
+// fingerprint names the whole prompt of one team: a short text such as "yes"
+// stands in many conversations, and only one of them may crash engines.
+func (r *run) fingerprint() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(r.call.Caller.Team.Name + "\n")
+	_, _ = digest.Write(r.body)
+	return digest.Sum64()
+}
+
 // attempt sends the call to one upstream. A refusal means that no other
 // upstream may be tried.
 func (r *run) attempt(ctx context.Context, id string, a route.Assign) (route.Report, *Refusal) {
