--- a/boot/life.go
+++ b/boot/life.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/keys"
@@ -37,13 +39,13 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
 	n.common.Log.Info("A planned stop begins.")
-	wait(ctx, time.Duration(n.common.Settings.DrainNotice))
+	group.Sleep(ctx, time.Duration(n.common.Settings.DrainNotice))
 	if err := n.member.Drain(ctx); err != nil {
 		n.common.Log.Warn("The platform was not told of the stop.", "error", err)
 	}
 	err := n.entry.Shutdown(ctx)
 	for err == nil && !n.settled(ctx) {
-		if !wait(ctx, drainPoll) {
+		if !group.Sleep(ctx, drainPoll) {
 			err = ctx.Err()
 		}
 	}
@@ -104,18 +106,7 @@
 
 // sweep tries again what the store did not take.
 func (n *Node) sweep(ctx context.Context) {
-	for wait(ctx, sweepInterval) {
+	for group.Sleep(ctx, sweepInterval) {
 		n.intents.Sweep(ctx)
 	}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/bench/balancer.go
+++ b/cmd/bench/balancer.go
@@ -62,7 +62,7 @@
 }
 
 func (b *balancer) run(ctx context.Context) {
-	for pause(ctx, healthInterval) {
+	for group.Sleep(ctx, healthInterval) {
 		b.check()
 	}
 }
@@ -87,18 +87,3 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
-
-// pause returns false if the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/cmd/bench/experiment.go
+++ b/cmd/bench/experiment.go
@@ -100,7 +100,7 @@
 func (e experiment) runFaults(ctx context.Context, t *trial, failed func(error)) {
 	began := time.Now()
 	for _, f := range e.faults {
-		if !pause(ctx, time.Until(began.Add(f.at))) {
+		if !group.Sleep(ctx, time.Until(began.Add(f.at))) {
 			return
 		}
 		if err := f.do(ctx, t); err != nil {
--- a/cmd/bench/ourcluster.go
+++ b/cmd/bench/ourcluster.go
@@ -122,7 +122,7 @@
 func awaitReady(ctx context.Context, nodes []*boot.Node) error {
 	for _, node := range nodes {
 		for reason := node.NotReady(); reason != ""; reason = node.NotReady() {
-			if !pause(ctx, readyInterval) {
+			if !group.Sleep(ctx, readyInterval) {
 				return errors.Annotate(errNotReady, reason)
 			}
 		}
@@ -153,7 +153,7 @@
 			since = time.Now()
 		}
 		before = seats
-		if !pause(ctx, settleInterval) {
+		if !group.Sleep(ctx, settleInterval) {
 			return errors.Annotatef(errNotReady, "seats delegated to the instances: %v", seats)
 		}
 	}
--- a/cmd/bench/runner.go
+++ b/cmd/bench/runner.go
@@ -49,7 +49,7 @@
 	g := group.NewGroup(ctx)
 	began := time.Now()
 	for _, p := range plans {
-		if !pause(ctx, time.Until(began.Add(p.at))) {
+		if !group.Sleep(ctx, time.Until(began.Add(p.at))) {
 			break
 		}
 		g.Go(func(ctx context.Context) { r.runProgram(ctx, p, began.Add(p.at)) })
@@ -76,7 +76,7 @@
 		return false
 	}
 	for i, s := range c.plan.steps {
-		if !pause(ctx, s.pause) || !c.step(ctx, i, s) {
+		if !group.Sleep(ctx, s.pause) || !c.step(ctx, i, s) {
 			return false
 		}
 	}
@@ -158,7 +158,7 @@
 			r.ledger.giveBack(record.team, a.done)
 		}
 		r.ledger.addAttempt(record, a)
-		if record.unknowns() >= maxUnknowns || !a.retryable() || !pause(ctx, a.retryWait()) {
+		if record.unknowns() >= maxUnknowns || !a.retryable() || !group.Sleep(ctx, a.retryWait()) {
 			return
 		}
 	}
@@ -220,7 +220,7 @@
 	var a attempt
 	for range maxAttempts {
 		a = r.send(ctx, q, false)
-		if !a.retryable() || !pause(ctx, a.retryWait()) {
+		if !a.retryable() || !group.Sleep(ctx, a.retryWait()) {
 			break
 		}
 	}
--- a/cmd/bench/world.go
+++ b/cmd/bench/world.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/stand"
 )
@@ -160,7 +162,7 @@
 	deadline := time.Now().Add(timeout)
 	for {
 		held := w.held(programs)
-		if held == 0 || time.Now().After(deadline) || !pause(ctx, freeInterval) {
+		if held == 0 || time.Now().After(deadline) || !group.Sleep(ctx, freeInterval) {
 			return held
 		}
 	}
--- a/homes/ask.go
+++ b/homes/ask.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/peer"
@@ -83,7 +85,7 @@
 		if !isRetryable(err) {
 			return nil, err
 		}
-		if !sleep(ctx, pause) {
+		if !group.Sleep(ctx, pause) {
 			return nil, errors.WithType(err, ErrNoHome)
 		}
 		pause = min(2*pause, maxRetryPause)
@@ -136,14 +138,3 @@
 		errors.Is(err, peer.ErrNotHome) ||
 		errors.Is(err, ErrNoHome)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pools/client.go
+++ b/pools/client.go
@@ -135,7 +135,7 @@
 		defer cancel()
 		for {
 			err := try(ctx, send)
-			if err == nil || errors.Is(err, peer.ErrNotHome) || !wait(ctx, leaveInterval) {
+			if err == nil || errors.Is(err, peer.ErrNotHome) || !group.Sleep(ctx, leaveInterval) {
 				return
 			}
 		}
@@ -148,17 +148,6 @@
 	return send(ctx)
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (c *Client) report(ctx context.Context, service string, report route.Report) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
--- a/progs/client.go
+++ b/progs/client.go
@@ -116,7 +116,7 @@
 		c.group.Go(func(ctx context.Context) {
 			for range 2 {
 				c.tellEnd(ctx, address, q)
-				if !pause(ctx, resendInterval) {
+				if !group.Sleep(ctx, resendInterval) {
 					return
 				}
 			}
@@ -151,7 +151,7 @@
 		Outcome: prog.OutcomeCancelled,
 	}
 	for range 2 {
-		if !pause(ctx, resendInterval) {
+		if !group.Sleep(ctx, resendInterval) {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -178,7 +178,7 @@
 		if err != nil || reply.Refusal == nil || !reply.Refusal.Retryable {
 			return reply, err
 		}
-		if !pause(ctx, resendInterval/4) {
+		if !group.Sleep(ctx, resendInterval/4) {
 			return reply, nil
 		}
 	}
@@ -186,7 +186,7 @@
 
 func (c *Client) endLater(ctx context.Context, q *prog.EndRequest) {
 	defer c.settled(q)
-	for pause(ctx, resendInterval) {
+	for group.Sleep(ctx, resendInterval) {
 		reply, err := c.endOnce(ctx, q)
 		if err != nil {
 			continue
@@ -202,7 +202,7 @@
 
 func (c *Client) reopen(ctx context.Context, q prog.OpenRequest, program string) {
 	q.Resent = true
-	for pause(ctx, resendInterval) {
+	for group.Sleep(ctx, resendInterval) {
 		reply, err := c.openCall.Ask(ctx, c.router, shardOf(program), &q)
 		if err == nil && (reply.Kept || reply.Refusal != nil && !reply.Refusal.Retryable) {
 			return
@@ -216,14 +216,3 @@
 }
 
 func shardOf(program string) uint8 { return uint8(prog.ShardOf(program)) }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/keys"
 	"github.com/buckthorntide/buckthorntide/peer"
@@ -18,7 +20,7 @@
 func (s *Spread) followPeers(ctx context.Context) {
 	var due time.Time
 	wasReachable := false
-	for pause(ctx, checkInterval) {
+	for group.Sleep(ctx, checkInterval) {
 		now := s.common.Clock.Now()
 		reachable := s.StoreReachable()
 		if now.Before(due) && reachable == wasReachable {
--- a/spread/poll.go
+++ b/spread/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/conf"
@@ -18,7 +20,7 @@
 		if err := s.poll(ctx); err != nil && ctx.Err() == nil {
 			s.common.Log.Debug("Polling the table service failed.", "error", err)
 		}
-		if !pause(ctx, s.pollPause()) {
+		if !group.Sleep(ctx, s.pollPause()) {
 			return
 		}
 	}
@@ -143,14 +145,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/stand/enginecache.go
+++ b/stand/enginecache.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/buckthorntide/buckthorntide/group"
 )
 
 // maxEvents bounds the cache events that an engine keeps.
@@ -41,7 +43,7 @@
 		http.Error(w, "no such prefix", http.StatusNotFound)
 		return
 	}
-	if !wait(r.Context(), e.transferTime(prefix)) {
+	if !group.Sleep(r.Context(), e.transferTime(prefix)) {
 		abort()
 	}
 	writeJSON(w, http.StatusOK, CacheBlob{Program: program, Tokens: prefix.tokens(), Prefix: prefix})
@@ -52,7 +54,7 @@
 	if !readJSON(w, r, &blob) {
 		return
 	}
-	if !wait(r.Context(), e.transferTime(blob.Prefix)) {
+	if !group.Sleep(r.Context(), e.transferTime(blob.Prefix)) {
 		abort()
 	}
 	e.mu.Lock()
--- a/stand/enginechat.go
+++ b/stand/enginechat.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"github.com/buckthorntide/buckthorntide/group"
 )
 
 const finishStop = "stop"
@@ -210,7 +212,7 @@
 		return
 	}
 	e.server.group.Go(func(context.Context) {
-		if wait(run.ctx, e.config.ResumeGrace) {
+		if group.Sleep(run.ctx, e.config.ResumeGrace) {
 			e.cancelAbandoned(run)
 		}
 	})
--- a/stand/enginerun.go
+++ b/stand/enginerun.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/juju/errors"
 )
 
@@ -108,7 +110,7 @@
 			return context.Cause(run.ctx)
 		}
 	}
-	if !wait(run.ctx, time.Duration(faults.Slow)) {
+	if !group.Sleep(run.ctx, time.Duration(faults.Slow)) {
 		return context.Cause(run.ctx)
 	}
 	return nil
@@ -146,7 +148,7 @@
 // Prefills share the engine one after the other.
 func (e *Engine) prefill(run *engineRun) error {
 	prefix := newPrefix(run.request.Messages)
-	if !wait(run.ctx, time.Until(e.startPrefill(run, prefix))) {
+	if !group.Sleep(run.ctx, time.Until(e.startPrefill(run, prefix))) {
 		return context.Cause(run.ctx)
 	}
 	e.mu.Lock()
@@ -216,7 +218,7 @@
 		e.mu.Lock()
 		due = due.Add(e.spend(1, e.config.DecodeTokensPerSecond))
 		e.mu.Unlock()
-		if !wait(run.ctx, time.Until(due)) {
+		if !group.Sleep(run.ctx, time.Until(due)) {
 			return context.Cause(run.ctx)
 		}
 		e.addChunk(run, chunk)
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
@@ -154,7 +156,7 @@
 	if faults.Down == DownDrop || faults.TableDown && isTable(r.URL.Path) {
 		return false
 	}
-	return wait(r.Context(), time.Duration(faults.Slow)) || faults.Slow > 0
+	return group.Sleep(r.Context(), time.Duration(faults.Slow)) || faults.Slow > 0
 }
 
 // isTable tells whether the path is one of the table service.
--- a/stand/server.go
+++ b/stand/server.go
@@ -90,18 +90,3 @@
 
 // abort drops the connection without an answer.
 func abort() { panic(http.ErrAbortHandler) }
-
-// wait returns false if the context ended first.
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/stand/service.go
+++ b/stand/service.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/buckthorntide/buckthorntide/conf"
 )
 
@@ -179,7 +181,7 @@
 		Body:    string(body),
 		At:      time.Now(),
 	})
-	_ = wait(r.Context(), time.Duration(faults.Delay))
+	_ = group.Sleep(r.Context(), time.Duration(faults.Delay))
 	if crashed {
 		abort()
 	}
--- a/store/committer.go
+++ b/store/committer.go
@@ -238,7 +238,7 @@
 func (c *Committer) run(ctx context.Context) {
 	failures := 0
 	for c.awaitWork(ctx) {
-		if !sleep(ctx, c.config.Interval) {
+		if !group.Sleep(ctx, c.config.Interval) {
 			return
 		}
 		if c.commitOnce(ctx) {
@@ -246,7 +246,7 @@
 			continue
 		}
 		failures++
-		sleep(ctx, c.backoff(failures))
+		group.Sleep(ctx, c.backoff(failures))
 	}
 }
 
@@ -282,18 +282,3 @@
 	most := min(maxBackoff, c.config.Backoff<<min(failures-1, 16))
 	return most/2 + rand.N(most/2+1)
 }
-
-// sleep returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/committerbatch.go
+++ b/store/committerbatch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/buckthorntide/buckthorntide/group"
+
 	"github.com/juju/errors"
 )
 
@@ -65,7 +67,7 @@
 	if !writesConditionedRow(txn) {
 		return 0, ErrUnknown
 	}
-	for failures := 1; sleep(ctx, c.backoff(failures)); failures++ {
+	for failures := 1; group.Sleep(ctx, c.backoff(failures)); failures++ {
 		version, err := c.write(ctx, txn)
 		if err == nil {
 			c.countSettled()
