--- a/trial/serve_budget_test.go
+++ b/trial/serve_budget_test.go
@@ -150,7 +150,7 @@
 }
 
 func keysOf(m map[string]int) []string {
-	var out []string
+	out := make([]string, 0, len(m))
 	for k := range m {
 		out = append(out, k)
 	}
--- a/trial/serve_memory_test.go
+++ b/trial/serve_memory_test.go
@@ -64,7 +64,7 @@
 // speakAll runs two turns in each of some new programs, at all instances.
 func (c *cluster) speakAll(l *load, programs int) []string {
 	c.t.Helper()
-	var out []string
+	out := make([]string, 0, programs)
 	for n := range programs {
 		client := c.client(n, l.key)
 		talk := &conversation{program: c.openProgram(client, "")}
