Take no operator's orders while out of touch

Cause: an instance that hears nobody took orders with an admin key that may have been withdrawn. Change: only reading is answered then.

--- a/admin/server.go
+++ b/admin/server.go
@@ -99,7 +99,8 @@
 	return mux
 }
 
-// guard lets only admin keys through.
+// guard lets only admin keys through. An instance that can't tell whether a key
+// was withdrawn takes no orders, but may still be looked at.
 func (s *Server) guard(next action) http.HandlerFunc {
 	return func(w http.ResponseWriter, q *http.Request) {
 		if problem := s.check(q); problem != nil {
@@ -123,6 +124,13 @@
 			Next:    "give an admin key with -key or BUCKTHORNTIDE_ADMIN_KEY",
 		}
 	}
+	if q.Method != http.MethodGet && !s.keys.Fresh(s.common.Clock.Now()) {
+		return &admapi.Problem{
+			Code:    admapi.CodeUnavailable,
+			Message: "the instance hears neither the platform nor its peers, so that it can't tell whether the key was withdrawn",
+			Next:    "ask another instance",
+		}
+	}
 	return nil
 }
 
