--- /dev/null
+++ b/calls/outcome.go
@@ -0,0 +1,56 @@
+package calls
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/engine"
+	"github.com/buckthorntide/buckthorntide/route"
+)
+
+// resumable tells a stream that may be taken up where it broke.
+func resumable(err error) bool {
+	return errors.Is(err, engine.ErrTruncated) || errors.Is(err, engine.ErrGap)
+}
+
+func outcomeOf(ctx context.Context, err error) route.Outcome {
+	switch {
+	case err == nil:
+		return route.OutcomeCompleted
+	case errors.Is(err, errCallerLeft) || ctx.Err() != nil:
+		return route.OutcomeCancelled
+	case errors.Is(err, engine.ErrUnreachable):
+		return route.OutcomeUnreachable
+	case errors.Is(err, engine.ErrRefused):
+		return route.OutcomeRefused
+	case errors.Is(err, engine.ErrFailed):
+		return route.OutcomeFailed
+	default:
+		return route.OutcomeCrashed
+	}
+}
+
+func refuseLeft(ctx context.Context, outcome route.Outcome) *Refusal {
+	r := &Refusal{
+		Status:   statusCallerLeft,
+		Code:     "cancelled",
+		Message:  "the caller left",
+		RunState: Unknown,
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.Status = http.StatusGatewayTimeout
+		r.Code = "deadline"
+		r.Message = "the answer did not come before the deadline"
+	}
+	if errors.Is(context.Cause(ctx), ErrKeyWithdrawn) {
+		r.Status = http.StatusUnauthorized
+		r.Code = "keyWithdrawn"
+		r.Message = "the key was withdrawn while the call ran"
+	}
+	if outcome == route.OutcomeUnreachable || outcome == route.OutcomeRefused {
+		r.RunState = NotRun
+	}
+	return r
+}
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -74,7 +74,7 @@
 	plainRun struct {
 		*Plain
 		call  PlainCall
-		start prog.Start
+		turn  turn
 		claim *prog.Claim
 		// upstream is the upstream that gave the answer.
 		upstream string
@@ -112,7 +112,17 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	r := &plainRun{Plain: p, call: call}
+	r := &plainRun{Plain: p, call: call, turn: turn{
+		programs: p.programs,
+		relay:    p.self,
+		team:     call.Caller.Team.Name,
+		program:  call.Program,
+		callID:   call.CallID,
+		attempt:  call.Attempt,
+		kind:     prog.KindPlain,
+		digest:   call.Digest,
+		deadline: call.Deadline,
+	}}
 	if call.Program == "" {
 		return r.once(ctx)
 	}
@@ -121,7 +131,7 @@
 
 // inProgram runs the call as the next turn of its program.
 func (r *plainRun) inProgram(ctx context.Context) (PlainResult, *Refusal) {
-	reply, err := r.programs.Begin(ctx, r.beginRequest())
+	reply, err := r.programs.Begin(ctx, r.turn.beginRequest())
 	if err != nil {
 		return PlainResult{}, r.call.beforeClaim(refuseUnavailable(NotRun, "the program's home did not answer"))
 	}
@@ -134,8 +144,8 @@
 		late := &prog.Refusal{Reason: prog.ReasonDeadline, RunState: prog.NotRun}
 		return PlainResult{}, r.call.beforeClaim(refuseProgram(late))
 	}
-	r.start = *reply.Start
-	ctx, cancel := context.WithTimeout(ctx, r.start.TimeLeft)
+	r.turn.start = *reply.Start
+	ctx, cancel := context.WithTimeout(ctx, r.turn.start.TimeLeft)
 	defer cancel()
 	result, refusal := r.once(ctx)
 	if refusal != nil {
@@ -146,7 +156,7 @@
 	if err != nil {
 		r.common.Log.Warn("A turn is not kept yet.", "program", r.call.Program, "error", err)
 	}
-	result.Turn = r.start.Turn
+	result.Turn = r.turn.start.Turn
 	return result, nil
 }
 
@@ -160,35 +170,10 @@
 	return refusal
 }
 
-func (r *plainRun) beginRequest() *prog.BeginRequest {
-	return &prog.BeginRequest{
-		Program:  r.call.Program,
-		Team:     r.call.Caller.Team.Name,
-		CallID:   r.call.CallID,
-		Attempt:  r.call.Attempt,
-		Relay:    r.self,
-		Kind:     prog.KindPlain,
-		Digest:   r.call.Digest,
-		Deadline: r.call.Deadline,
-	}
-}
-
+// end reports the outcome with the answer, if there is one.
 func (r *plainRun) end(ctx context.Context, outcome prog.Outcome, answer *relay.PlainAnswer) (*prog.EndReply, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
-	defer cancel()
-	q := &prog.EndRequest{
-		Program:  r.call.Program,
-		Team:     r.call.Caller.Team.Name,
-		Turn:     r.start.Turn,
-		CallID:   r.call.CallID,
-		Attempt:  r.call.Attempt,
-		Relay:    r.self,
-		Kind:     prog.KindPlain,
-		Digest:   r.call.Digest,
-		Previous: r.start.Previous,
-		Outcome:  outcome,
-		Engine:   r.upstream,
-	}
+	q := r.turn.endRequest(outcome)
+	q.Engine = r.upstream
 	if answer != nil {
 		body, err := json.Marshal(answer)
 		if err != nil {
@@ -196,7 +181,7 @@
 		}
 		q.Answer = prog.Message{Role: roleService, Body: body}
 	}
-	return r.programs.End(ctx, q)
+	return r.turn.end(ctx, q)
 }
 
 func replayTurn(stored *prog.Stored) (PlainResult, *Refusal) {
@@ -348,8 +333,8 @@
 		Program:         r.call.Attempt,
 		Root:            r.call.Attempt,
 		Team:            r.call.Caller.Team.Name,
-		AttainedService: r.start.Attained,
-		RunningProgram:  r.start.Turn > 1,
+		AttainedService: r.turn.start.Attained,
+		RunningProgram:  r.turn.start.Turn > 1,
 		Repeatable:      r.call.Route.Repeatable,
 		Fingerprint:     xxhash.Sum64String(r.call.Method + r.call.Path + r.call.Digest),
 		Deadline:        r.call.Deadline,
