Follow dependencies whose home is elsewhere

Cause: a service's home knew only the services of its own instance, so that a missing dependency with another home stopped no new program; and nothing told that a plain service's upstream was gone before a call met it. Openings and ends that a moved home refuses go to the next one.

--- a/boot/node.go
+++ b/boot/node.go
@@ -174,7 +174,7 @@
 	f := fleet.NewFleet(config, n.common.Clock.Now(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	n.member = member.NewMember(n.common, f, n.thread, n.conns, n.platform, n.self)
 	n.router = homes.NewRouter(n.member, n.conns)
-	n.pools = pools.NewHome(n.common, n.thread, n.conns, n.relayer, n.engines,
+	n.pools = pools.NewHome(n.common, n.thread, n.conns, n.relayer, n.router, n.engines, n.plain,
 		progs.NewLives(n.router, n.progs), n.newPolicy)
 	n.orders = orders.NewRunner(n.common, n.self.Name+"/"+epoch, n.thread, n.platform, n.engines)
 	n.member.Follow(n.quota, n.progs, n.pools, n.orders)
--- a/pools/home.go
+++ b/pools/home.go
@@ -13,6 +13,7 @@
 	"github.com/buckthorntide/buckthorntide/engine"
 	"github.com/buckthorntide/buckthorntide/fleet"
 	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/homes"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/route"
 	"github.com/buckthorntide/buckthorntide/store"
@@ -68,13 +69,17 @@
 		relayer   *Relayer
 		viewer    Viewer
 		newPolicy NewPolicy
+		router    *homes.Router
 		engines   Engines
+		plain     Plain
 		programs  Lives
 		table     store.Table
 		text      *conf.Text
 		authority [fleet.ShardCount]fleet.Authority
 		services  map[string]*service
-		group     *group.Group
+		// neighbours are the services elsewhere that those here depend on.
+		neighbours map[string]*neighbour
+		group      *group.Group
 	}
 
 	// service is one service that this instance is the home of.
@@ -104,21 +109,26 @@
 	thread *ctrl.Thread,
 	conns *peer.Conns,
 	relayer *Relayer,
+	router *homes.Router,
 	engines Engines,
+	plain Plain,
 	programs Lives,
 	newPolicy NewPolicy,
 ) *Home {
 	return &Home{
-		common:    c.Part("pools"),
-		thread:    thread,
-		conns:     conns,
-		relayer:   relayer,
-		newPolicy: newPolicy,
-		engines:   engines,
-		programs:  programs,
-		text:      &conf.Text{},
-		services:  make(map[string]*service),
-		group:     group.NewGroup(context.Background()),
+		common:     c.Part("pools"),
+		thread:     thread,
+		conns:      conns,
+		relayer:    relayer,
+		router:     router,
+		newPolicy:  newPolicy,
+		engines:    engines,
+		plain:      plain,
+		programs:   programs,
+		text:       &conf.Text{},
+		services:   make(map[string]*service),
+		neighbours: make(map[string]*neighbour),
+		group:      group.NewGroup(context.Background()),
 	}
 }
 
@@ -136,6 +146,7 @@
 		Done.Handle(h.done),
 		Cancel.Handle(h.cancel),
 		Relayed.Handle(h.relayed),
+		Usable.Handle(h.usable),
 	}
 }
 
@@ -188,6 +199,7 @@
 	for name := range h.services {
 		h.dropLapsed(fleet.ShardOf(name), now)
 	}
+	h.askNeighbours(now)
 	h.admit(now)
 	for _, s := range h.services {
 		exclusive := h.authority[fleet.ShardOf(s.config.Name)].At(now).Exclusive
@@ -367,20 +379,6 @@
 	}
 }
 
-// admit follows the dependencies: only services of this home are known here,
-// others count as usable.
-func (h *Home) admit(now time.Time) {
-	statuses := make([]route.Status, 0, len(h.services))
-	for name, s := range h.services {
-		statuses = append(statuses, route.Status{Service: name, Usable: s.policy.Usable(now)})
-	}
-	for _, a := range route.Usable(h.text.Services, statuses) {
-		if s, ok := h.services[a.Service]; ok {
-			s.policy.SetAdmission(a.NewPrograms)
-		}
-	}
-}
-
 func (h *Home) submit(ctx context.Context, q *SubmitMessage) (*SubmitReply, error) {
 	if err := h.awaitSuspects(ctx, q.Service); err != nil {
 		return nil, err
--- a/pools/message.go
+++ b/pools/message.go
@@ -16,6 +16,9 @@
 	Done = peer.Method[DoneMessage, DoneReply]{Name: "DoneCall"}
 	// Cancel is the remote method that takes a waiting call back.
 	Cancel = peer.Method[CancelMessage, CancelReply]{Name: "CancelCall"}
+	// Usable is the remote method that asks whether a service has a usable
+	// upstream.
+	Usable = peer.Method[UsableRequest, UsableReply]{Name: "UsableService"}
 	// Relayed is the remote method that asks a relaying instance what it has
 	// running.
 	Relayed = peer.Method[RelayedRequest, RelayedReply]{Name: "RelayedCalls"}
@@ -62,6 +65,16 @@
 	// CancelReply acknowledges a CancelMessage.
 	CancelReply struct{}
 
+	// UsableRequest asks whether a service has a usable upstream.
+	UsableRequest struct {
+		Service string `json:"service"`
+	}
+
+	// UsableReply answers a UsableRequest.
+	UsableReply struct {
+		Usable bool `json:"usable"`
+	}
+
 	// RelayedRequest asks for the running calls of one service.
 	RelayedRequest struct {
 		Service string `json:"service"`
--- a/pools/probe.go
+++ b/pools/probe.go
@@ -17,6 +17,12 @@
 	probeTimeout = 2 * time.Second
 )
 
+// Plain looks at the upstreams of plain services.
+type Plain interface {
+	// Reachable tells whether the address takes connections.
+	Reachable(ctx context.Context, address string) bool
+}
+
 // Engines is what a service's home asks of model engines.
 type Engines interface {
 	Load(ctx context.Context, t engine.Target) (engine.Load, error)
@@ -26,10 +32,10 @@
 	CancelRequest(ctx context.Context, t engine.Target, requestID string) error
 }
 
-// probe asks every engine of the service for its load and its cache events,
-// unless an earlier question to it is still open.
+// probe looks at every upstream of the service, unless an earlier look is still
+// open: engines are asked for their load and their cache events.
 func (h *Home) probe(s *service, now time.Time) {
-	if s.config.Kind != conf.KindModel || now.Before(s.nextProbe) {
+	if now.Before(s.nextProbe) {
 		return
 	}
 	s.nextProbe = now.Add(probeInterval)
@@ -38,15 +44,32 @@
 			continue
 		}
 		s.probing[u.Name] = true
+		if s.config.Kind != conf.KindModel {
+			h.group.Go(func(ctx context.Context) { h.probePlain(ctx, s, u) })
+			continue
+		}
 		after := s.index.Sequence(u.Name)
 		h.group.Go(func(ctx context.Context) { h.probeEngine(ctx, s, u, after) })
 	}
 }
 
+// probePlain only looks whether a plain service's upstream takes connections.
+func (h *Home) probePlain(ctx context.Context, s *service, u conf.Upstream) {
+	defer h.probed(ctx, s, u)
+	askCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if h.plain.Reachable(askCtx, u.Address) || ctx.Err() != nil {
+		return
+	}
+	_ = h.thread.Post(ctx, func(now time.Time) { h.apply(s, s.policy.ObserveUnreachable(u.Name, now)) })
+}
+
+func (h *Home) probed(ctx context.Context, s *service, u conf.Upstream) {
+	_ = h.thread.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.probing, u.Name) })
+}
+
 func (h *Home) probeEngine(ctx context.Context, s *service, u conf.Upstream, after int64) {
-	defer func() {
-		_ = h.thread.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.probing, u.Name) })
-	}()
+	defer h.probed(ctx, s, u)
 	askCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	target := engine.Target{Address: u.Address, Credential: s.config.Credential}
--- a/progs/home.go
+++ b/progs/home.go
@@ -208,6 +208,9 @@
 		return nil, peer.NotHome()
 	}
 	reply, err := h.keeper.Open(ctx, *q)
+	if err == nil && isMoved(reply.Refusal) {
+		return nil, peer.NotHome()
+	}
 	return reply, errors.Trace(err)
 }
 
@@ -216,7 +219,7 @@
 		return nil, peer.NotHome()
 	}
 	reply, err := h.keeper.Begin(ctx, q.received(h.common.Clock.Now()))
-	if err == nil && reply.Refusal != nil && reply.Refusal.Reason == prog.ReasonMoved {
+	if err == nil && isMoved(reply.Refusal) {
 		return nil, peer.NotHome()
 	}
 	return reply, errors.Trace(err)
@@ -227,7 +230,7 @@
 		return nil, peer.NotHome()
 	}
 	reply, err := h.keeper.End(ctx, *q)
-	if err == nil && reply.Refusal != nil && reply.Refusal.Reason == prog.ReasonMoved {
+	if err == nil && isMoved(reply.Refusal) {
 		return nil, peer.NotHome()
 	}
 	return reply, errors.Trace(err)
@@ -238,9 +241,15 @@
 		return nil, peer.NotHome()
 	}
 	reply, err := h.keeper.CloseProgram(ctx, *q)
+	if err == nil && isMoved(reply.Refusal) {
+		return nil, peer.NotHome()
+	}
 	return reply, errors.Trace(err)
 }
 
+// isMoved tells a refusal by a home that has given the shard up.
+func isMoved(r *prog.Refusal) bool { return r != nil && r.Reason == prog.ReasonMoved }
+
 func (h *Home) carried(_ context.Context, q *CarriedRequest) (*CarriedReply, error) {
 	return &CarriedReply{Turns: h.carrier.List(q, h.common.Clock.Now())}, nil
 }
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -79,6 +79,17 @@
 	return &Plain{repeatable: newClient(NewTransport()), once: newClient(once)}
 }
 
+// Reachable tells whether the address takes connections.
+func (p *Plain) Reachable(ctx context.Context, address string) bool {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Close closes the idle connections.
 func (p *Plain) Close() {
 	p.repeatable.CloseIdleConnections()
