Show programs and orders in the dump, and move callers on while stopping

Cause: the dump lacked the programs and the orders; a caller's idle connection kept bringing calls to an instance that stops. Change: both are in the dump, requests are timed, answers of a stopping instance close their connection.

--- a/boot/report.go
+++ b/boot/report.go
@@ -11,6 +11,8 @@
 	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/fleet"
 	"github.com/buckthorntide/buckthorntide/keys"
+	"github.com/buckthorntide/buckthorntide/orders"
+	"github.com/buckthorntide/buckthorntide/prog"
 	"github.com/buckthorntide/buckthorntide/route"
 )
 
@@ -21,6 +23,9 @@
 	stateUnfit       = "unfit"
 	stateUsable      = "usable"
 	stateUnusable    = "unusable"
+
+	// dumpedPrograms is how many programs a dump shows.
+	dumpedPrograms = 100
 )
 
 // dumpBody is the whole state of an instance, for people to read.
@@ -31,6 +36,8 @@
 	Seats     []int                 `json:"seats"`
 	Authority []dumpShard           `json:"authority"`
 	Pools     []route.State         `json:"pools"`
+	Orders    []orders.State        `json:"orders"`
+	Programs  *prog.Dump            `json:"programs"`
 	Carried   int                   `json:"carriedTurns"`
 	Relayed   int                   `json:"relayedCalls"`
 	Intents   int                   `json:"unsettledIntents"`
@@ -100,13 +107,14 @@
 		Members:   view.Members,
 		Seats:     view.Seats,
 		Authority: n.authority(view, n.common.Clock.Now()),
+		Programs:  n.keeper.Dump("", dumpedPrograms),
 		Carried:   n.carrier.Len(),
 		Relayed:   n.relayer.Len(),
 		Intents:   n.intents.Pending(),
 		Keys:      n.spread.Keys(keys.CallerKind).Len(),
 		Streams:   n.watch.Len(),
 	}
-	err := n.thread.Do(ctx, func(now time.Time) { body.Pools = n.pools.States(now) })
+	err := n.thread.Do(ctx, func(now time.Time) { body.Pools, body.Orders = n.pools.States(now), n.orders.States(now) })
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/entry/server.go
+++ b/entry/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/calls"
 	"github.com/buckthorntide/buckthorntide/common"
@@ -48,6 +49,8 @@
 	Health interface {
 		// NotReady returns why not, or an empty text.
 		NotReady() string
+		// Draining tells that a planned stop is under way.
+		Draining() bool
 		// Shut tells that no call may be taken at all, and why.
 		Shut() string
 	}
@@ -141,9 +144,16 @@
 }
 
 func (s *Server) counted(next http.Handler) http.Handler {
+	requests := metrics.GetOrRegisterTimer("entry.requests", s.common.Metrics)
 	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 		s.running.Add(1)
 		defer s.running.Add(-1)
+		began := s.common.Clock.Now()
+		defer func() { requests.Update(s.common.Clock.Now().Sub(began)) }()
+		if s.health.Draining() {
+			// The caller's next call then goes to another instance.
+			w.Header().Set("Connection", "close")
+		}
 		q.Body = http.MaxBytesReader(w, q.Body, maxBodyBytes)
 		next.ServeHTTP(w, q)
 	})
