Keep a turn that is not kept in two instances, always

Change: such a turn is copied to another instance before its answer goes out; that instance reports it as if it had relayed it. A home whose seats are worth nothing sends the asker on; any other refuses as over the rate again. Ruled out: the home's reload (it read what the table had) and the relay's report (it died with the home).

--- a/boot/node.go
+++ b/boot/node.go
@@ -200,9 +200,9 @@
 		handlers = append(handlers, part.Handlers()...)
 	}
 	s := n.common.Settings
-	n.peers.Register(handlers...)
 	limits := quota.NewClient(n.router, n.quota)
 	n.programs = progs.NewClient(n.common, n.router, n.progs, n.carrier)
+	n.peers.Register(append(handlers, n.programs.Handlers()...)...)
 	n.routes = pools.NewClient(n.common, n.router, n.pools, n.relayer)
 	model := calls.NewModel(n.common, n.self.Name, n.spread, limits, n.programs, n.routes, n.engines)
 	plain := calls.NewPlain(n.common, n.self.Name, limits, n.programs, n.routes, n.intents, n.plain)
--- a/homes/ask.go
+++ b/homes/ask.go
@@ -68,6 +68,9 @@
 	return &Router{locator: locator, conns: conns}
 }
 
+// Locate returns the shard's home by this instance's latest view.
+func (r *Router) Locate(shard uint8) (Place, bool) { return r.locator.Locate(shard) }
+
 // Ask sends the request to the shard's home and sends it again, also to the
 // next home, until one answers or the context ends. The request must be
 // idempotent.
--- a/progs/client.go
+++ b/progs/client.go
@@ -28,6 +28,7 @@
 	router  *homes.Router
 	carrier *Carrier
 	conns   *peer.Conns
+	viewer  Viewer
 	group   *group.Group
 
 	openCall  homes.Call[prog.OpenRequest, prog.OpenReply]
@@ -43,6 +44,7 @@
 		router:  router,
 		carrier: carrier,
 		conns:   home.conns,
+		viewer:  home.viewer,
 		group:   group.NewGroup(context.Background()),
 		openCall: homes.Call[prog.OpenRequest, prog.OpenReply]{
 			Method: Open,
@@ -104,6 +106,7 @@
 		c.settled(q)
 		return reply, nil
 	}
+	c.backUp(ctx, q)
 	c.group.Go(func(ctx context.Context) { c.endLater(ctx, q) })
 	return reply, errors.Trace(err)
 }
@@ -186,6 +189,7 @@
 
 func (c *Client) endLater(ctx context.Context, q *prog.EndRequest) {
 	defer c.settled(q)
+	backedUp := false
 	for group.Sleep(ctx, resendInterval) {
 		reply, err := c.endOnce(ctx, q)
 		if err != nil {
@@ -197,6 +201,8 @@
 		if isSettled(reply) {
 			return
 		}
+		// The home may have moved here since.
+		backedUp = backedUp || c.backUp(ctx, q)
 	}
 }
 
--- a/quota/client.go
+++ b/quota/client.go
@@ -66,13 +66,8 @@
 	if err != nil {
 		return errors.WithType(err, ErrNoAnswer)
 	}
-	switch {
-	case reply.Verdict == limit.Granted:
-		return nil
-	case reply.Recovering:
-		// The home can't tell yet whether the team is over its rate.
-		return errors.WithType(errors.New("the home recovers"), ErrNoAnswer)
-	default:
+	if reply.Verdict != limit.Granted {
 		return &LimitedError{RetryAfter: reply.RetryAfter}
 	}
+	return nil
 }
--- a/quota/home.go
+++ b/quota/home.go
@@ -134,7 +134,7 @@
 		c      = make(chan limit.TakeReply, 1)
 	)
 	err := h.thread.Do(ctx, func(now time.Time) {
-		if isHome = h.isHome(q.Shard, now); !isHome {
+		if isHome = h.mayMint(q.Shard, now); !isHome {
 			return
 		}
 		reply = h.buckets.Take(*q, now)
@@ -162,8 +162,10 @@
 	return &reply, nil
 }
 
-func (h *Home) isHome(s fleet.Shard, now time.Time) bool {
-	return h.authority[s].At(now).Seats > 0
+// mayMint tells whether this home's seats are worth anything: one that holds
+// too few can't tell whether a team is over its rate.
+func (h *Home) mayMint(s fleet.Shard, now time.Time) bool {
+	return limit.Majority{}.Of(h.authority[s].At(now).Seats) > 0
 }
 
 func (h *Home) await(ctx context.Context, q *limit.TakeRequest, c chan limit.TakeReply) (*limit.TakeReply, error) {
