--- a/trial/cluster_test.go
+++ b/trial/cluster_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -36,12 +37,14 @@
 	// cluster is a platform, upstreams and instances. The stand-ins run in the
 	// test's process, every instance in one of its own.
 	cluster struct {
-		t         testing.TB
-		net       string
-		hosts     int
-		platform  *stand.Platform
-		engines   []*stand.Engine
-		booking   *stand.Service
+		t        testing.TB
+		net      string
+		hosts    int
+		platform *stand.Platform
+		engines  []*stand.Engine
+		booking  *stand.Service
+		// mu guards instances, which grow while callers talk.
+		mu        sync.RWMutex
 		instances []*instance
 		text      conf.Text
 		revision  int64
@@ -120,6 +123,8 @@
 	i.process = startProcess(c.t, []string{"BUCKTHORNTIDE_ADMIN_KEY=" + adminKey}, "serve",
 		"-name", i.name, "-domain", domain, "-platform", c.platform.Address(),
 		"-listen", i.address, "-admin", i.admin, "-peer", host+":8082", "-log", "debug")
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.instances = append(c.instances, i)
 	return i
 }
@@ -243,6 +248,8 @@
 
 // client returns a client of one instance.
 func (c *cluster) client(n int, key string) *caller.Client {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
 	return caller.NewClient(c.instances[n%len(c.instances)].address, key)
 }
 
--- a/trial/control_rate_test.go
+++ b/trial/control_rate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -131,14 +132,15 @@
 // flood begins to flood every instance.
 func (c *cluster) flood(key string, burst float64) *flood {
 	f := &flood{c: c, burst: burst, group: group.NewGroup(c.t.Context())}
+	// Instances that a fault adds get no part of the flood.
+	instances := slices.Clone(c.instances)
 	for n := range floodCallers {
-		f.group.Go(func(ctx context.Context) { f.send(ctx, n, key) })
+		f.group.Go(func(ctx context.Context) { f.send(ctx, n, key, instances) })
 	}
 	return f
 }
 
-func (f *flood) send(ctx context.Context, n int, key string) {
-	instances := f.c.instances
+func (f *flood) send(ctx context.Context, n int, key string, instances []*instance) {
 	for k := 0; ctx.Err() == nil; k++ {
 		callID := fmt.Sprintf("flood-%d-%d", n, k)
 		f.mu.Lock()
