--- a/route/main_test.go
+++ b/route/main_test.go
@@ -8,6 +8,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	setDefault("rapid.seed", "1")
 	setDefault("rapid.checks", "300")
 	setDefault("rapid.steps", "100")
 	setDefault("rapid.nofailfile", "true")
