--- a/boot/life.go
+++ b/boot/life.go
@@ -4,10 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/juju/errors"
 
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 )
 
--- a/cmd/bench/world.go
+++ b/cmd/bench/world.go
@@ -5,9 +5,8 @@
 	"fmt"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/stand"
 )
 
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -50,26 +50,16 @@
 	return conn, nil
 }
 
-// Keep closes the connections to every address that is not listed.
-func (c *Conns) Keep(addresses []string) {
-	wanted := make(map[string]struct{}, len(addresses))
-	for _, a := range addresses {
-		wanted[a] = struct{}{}
-	}
+// Close closes every connection.
+func (c *Conns) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for a, conn := range c.conns {
-		if _, ok := wanted[a]; ok {
-			continue
-		}
+	for _, conn := range c.conns {
 		_ = conn.Close()
-		delete(c.conns, a)
 	}
+	clear(c.conns)
 }
 
-// Close closes every connection.
-func (c *Conns) Close() { c.Keep(nil) }
-
 func (c *Conns) dial(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithStatsHandler(c.meter),
--- a/spread/peers.go
+++ b/spread/peers.go
@@ -5,9 +5,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/store"
--- a/spread/poll.go
+++ b/spread/poll.go
@@ -1,14 +1,14 @@
 package spread
 
 import (
+	"cmp"
 	"context"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 	"github.com/buckthorntide/buckthorntide/store"
 )
@@ -75,7 +75,7 @@
 		s.cut(learned.Cut)
 	})
 	if doErr != nil || err != nil {
-		return errors.Trace(firstError(doErr, err))
+		return errors.Trace(cmp.Or(doErr, err))
 	}
 	if !learned.Reload {
 		return nil
@@ -136,12 +136,3 @@
 	}
 	return row, nil
 }
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
--- a/stand/service.go
+++ b/stand/service.go
@@ -7,9 +7,8 @@
 	"sync"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/group"
-
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/group"
 )
 
 const (
