--- a/boot/app.go
+++ b/boot/app.go
@@ -14,6 +14,7 @@
 )
 
 const usage = `usage: buckthorntide serve [flags]    run an instance
+       buckthorntide front [flags]    run an instance on the operators' platform
        buckthorntide demo             run stand-ins, three instances and a few programs
 
 operators' commands:
@@ -41,6 +42,8 @@
 	switch args[0] {
 	case "serve":
 		return a.serve(args[1:])
+	case "front":
+		return a.front(args[1:])
 	case "demo":
 		return a.demo(args[1:])
 	default:
--- a/conf/checksettings.go
+++ b/conf/checksettings.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"reflect"
-	"slices"
 	"strings"
 )
 
@@ -13,8 +12,13 @@
 // checkSettings notes everything in the settings that a process can't run
 // with.
 func checkSettings(d *document, s Settings) {
-	checkAddresses(d, s)
-	checkDurations(d, s)
+	checkOwnAddresses(d, []addressField{
+		{"listenAddress", s.ListenAddress},
+		{"adminAddress", s.AdminAddress},
+		{"peerAddress", s.PeerAddress},
+		{"platformAddress", s.PlatformAddress},
+	})
+	checkDurations(d, reflect.ValueOf(s))
 	for _, f := range []struct{ field, value string }{
 		{"failureDomain", s.FailureDomain},
 		{"region", s.Region},
@@ -23,21 +27,17 @@
 			d.fault(root().member(f.field), fault)
 		}
 	}
-	if !slices.Contains(logLevels, s.LogLevel) {
-		d.fault(root().member("logLevel"), fmt.Sprintf("unknown level %q; use one of %s", s.LogLevel, strings.Join(logLevels, ", ")))
-	}
+	checkLogLevel(d, s.LogLevel)
 }
 
-// checkAddresses notes addresses that are not IP:port and own ones that are
+// addressField is an address with the name of its field.
+type addressField struct{ field, address string }
+
+// checkOwnAddresses notes addresses that are not IP:port and ones that are
 // given twice.
-func checkAddresses(d *document, s Settings) {
+func checkOwnAddresses(d *document, addresses []addressField) {
 	seen := make(map[string]string)
-	for _, a := range []struct{ field, address string }{
-		{"listenAddress", s.ListenAddress},
-		{"adminAddress", s.AdminAddress},
-		{"peerAddress", s.PeerAddress},
-		{"platformAddress", s.PlatformAddress},
-	} {
+	for _, a := range addresses {
 		p := root().member(a.field)
 		if !isListenAddress(a.address) {
 			d.fault(p, mustBeIPPort)
@@ -51,8 +51,7 @@
 }
 
 // checkDurations notes every duration that is not above zero.
-func checkDurations(d *document, s Settings) {
-	v := reflect.ValueOf(s)
+func checkDurations(d *document, v reflect.Value) {
 	for i := range v.NumField() {
 		if v.Field(i).Type() != durationType || v.Field(i).Int() > 0 {
 			continue
--- a/conf/gen/page.go
+++ b/conf/gen/page.go
@@ -48,12 +48,16 @@
 // Page returns the page for the package in the directory.
 func Page(directory string) (string, error) {
 	structs := make(sections)
-	for _, name := range []string{"settings.go", "text.go"} {
+	for _, name := range []string{"settings.go", "front.go", "text.go"} {
 		if err := structs.read(filepath.Join(directory, name)); err != nil {
 			return "", err
 		}
 	}
-	defaults, err := defaultValues()
+	defaults, err := defaultValues(conf.DefaultSettings())
+	if err != nil {
+		return "", err
+	}
+	frontDefaults, err := defaultValues(conf.DefaultFrontSettings())
 	if err != nil {
 		return "", err
 	}
@@ -61,14 +65,16 @@
 	b.WriteString(intro)
 	b.WriteString("\n## Settings of a process\n\n" + structs["Settings"].doc + "\n\n")
 	structs["Settings"].writeTable(&b, defaults)
+	b.WriteString("\n## Settings of an instance on the platform\n\n" + structs["FrontSettings"].doc + "\n\n")
+	structs["FrontSettings"].writeTable(&b, frontDefaults)
 	b.WriteString("\n## The operators' text\n\n" + structs["Text"].doc + "\n")
 	structs.write(&b, "Text", "")
 	return b.String(), nil
 }
 
 // defaultValues returns the defaults of the settings as JSON, by field.
-func defaultValues() (map[string]json.RawMessage, error) {
-	written, err := json.Marshal(conf.DefaultSettings())
+func defaultValues(settings any) (map[string]json.RawMessage, error) {
+	written, err := json.Marshal(settings)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,271 @@
+// Package front is an instance on the platform: it wires the parts that take
+// callers' requests, and starts and stops them.
+package front
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/gate"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/mates"
+	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/platform"
+	"github.com/buckthorntide/buckthorntide/relay"
+	"github.com/buckthorntide/buckthorntide/roster"
+	"github.com/buckthorntide/buckthorntide/rows"
+	"github.com/buckthorntide/buckthorntide/share"
+	"github.com/buckthorntide/buckthorntide/site"
+	"github.com/buckthorntide/buckthorntide/turns"
+	"github.com/buckthorntide/buckthorntide/watch"
+)
+
+const (
+	// storeConnect bounds a connection to the store.
+	storeConnect = 500 * time.Millisecond
+	// keyMargin is kept off the time within which a withdrawn key must stop
+	// working, for the way of a request.
+	keyMargin = 500 * time.Millisecond
+	// cacheShare is the part of the memory that turns may take.
+	cacheShare = 8
+	// budgetMemory is how long a program without turns is remembered.
+	budgetMemory = 2 * time.Minute
+	// callerIdle is how long a caller's connection may be idle. It is longer
+	// than the callers keep theirs, so that they close first.
+	callerIdle = 90 * time.Second
+	// headerWait bounds the time for a request's head.
+	headerWait = 10 * time.Second
+)
+
+// Front is one instance. Start and then Close must be called once each.
+type Front struct {
+	settings  conf.FrontSettings
+	log       hclog.Logger
+	common    *common.Common
+	group     *group.Group
+	store     *platform.Store
+	roster    *roster.Roster
+	conns     *peer.Conns
+	mates     *mates.Mates
+	watcher   *watch.Watcher
+	ledger    *budget.Ledger
+	buckets   *share.Buckets
+	limiter   *share.Limiter
+	keeper    *turns.Keeper
+	picker    *pick.Picker
+	transport *http.Transport
+	gate      *gate.Gate
+	peers     *peer.Server
+	callers   *http.Server
+	ready     *http.Server
+	metrics   *http.Server
+	listeners []net.Listener
+	leaving   atomic.Bool
+}
+
+// NewFront returns an instance that listens but doesn't serve yet.
+func NewFront(settings conf.FrontSettings, log hclog.Logger) (*Front, error) {
+	f := &Front{
+		settings:  settings,
+		log:       log,
+		common:    common.NewCommon(log, conf.DefaultSettings()),
+		group:     group.NewGroup(context.Background()),
+		store:     platform.NewStore(settings.StoreAddress, storeConnect),
+		picker:    pick.NewPicker(),
+		transport: relay.NewTransport(),
+	}
+	f.roster = roster.NewRoster(roster.Entry{
+		Name:          settings.Instance,
+		Address:       settings.PeerAddress,
+		FailureDomain: settings.FailureDomain,
+		Start:         time.Now().UnixNano(),
+	})
+	f.conns = peer.NewConns(f.common.Metrics)
+	f.mates = mates.NewMates(log.Named("mates"), f.roster, f.conns)
+	f.watcher = watch.NewWatcher(log.Named("watch"), f.store, platform.Decoder{}, func(*site.View) {})
+	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()), budgetMemory)
+	f.buckets = share.NewBuckets(f.rank)
+	f.limiter = share.NewLimiter(f.buckets, f.mates)
+	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.mates, turns.Config{
+		RowBytes:   settings.RowBytes,
+		CacheBytes: settings.MemoryMB << 20 / cacheShare,
+	})
+	f.gate = gate.NewGate(gate.Parts{
+		Log:       log.Named("gate"),
+		Metrics:   f.common.Metrics,
+		Codec:     platform.Codec{},
+		Views:     f.watcher,
+		Quotas:    f.limiter,
+		Budgets:   f.ledger,
+		Turns:     f.keeper,
+		Picker:    f.picker,
+		Transport: f.transport,
+		Config: gate.Config{
+			FailureDomain: settings.FailureDomain,
+			KeyMaxAge:     time.Duration(settings.KeyRevocation) - keyMargin,
+			RouteMaxAge:   time.Duration(settings.ConfigDelay),
+			ColdBurst:     max(0, settings.ColdOverage-1),
+		},
+	})
+	if err := f.listen(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// rank tells this instance's place among those that a name falls to.
+func (f *Front) rank(name string) (place, members int) {
+	ranked := f.roster.Ranked(name)
+	for i, e := range ranked {
+		if e.Name == f.settings.Instance {
+			return i, len(ranked)
+		}
+	}
+	return len(ranked), len(ranked)
+}
+
+func (f *Front) listen() error {
+	peers, err := peer.NewServer(f.common, f.settings.PeerAddress)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f.peers = peers
+	f.peers.Register(mates.Handlers(f.ledger, f.buckets, f.keeper)...)
+	f.callers = &http.Server{Handler: f.gate, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle}
+	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerWait}
+	f.metrics = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerWait}
+	for _, address := range []string{f.settings.CallerAddress, f.settings.ReadyAddress, f.settings.MetricsAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return errors.Annotate(err, "listen")
+		}
+		f.listeners = append(f.listeners, l)
+	}
+	return nil
+}
+
+// Start runs every part.
+func (f *Front) Start() {
+	f.peers.Start()
+	f.watcher.Start()
+	f.watcher.Follow(roster.Table, f.wholeRoster, f.rosterRows)
+	f.group.Go(f.register)
+	for i, server := range []*http.Server{f.callers, f.ready, f.metrics} {
+		f.group.Go(func(context.Context) { f.serve(server, f.listeners[i]) })
+	}
+	f.log.Info("The instance runs.", "instance", f.settings.Instance, "domain", f.settings.FailureDomain,
+		"callers", f.settings.CallerAddress, "peers", f.settings.PeerAddress, "store", f.settings.StoreAddress)
+}
+
+func (f *Front) serve(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		f.log.Error("Serving ended.", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// Close stops every part at once and waits for them.
+func (f *Front) Close() {
+	for _, server := range []*http.Server{f.callers, f.ready, f.metrics} {
+		if server != nil {
+			_ = server.Close()
+		}
+	}
+	for _, l := range f.listeners {
+		_ = l.Close()
+	}
+	f.group.Close()
+	f.watcher.Close()
+	f.limiter.Close()
+	f.keeper.Close()
+	if f.peers != nil {
+		f.peers.Close()
+	}
+	f.conns.Close()
+	f.transport.CloseIdleConnections()
+	f.store.Close()
+}
+
+func (f *Front) wholeRoster(found []rows.Row) {
+	names := make(map[string]bool, len(found))
+	for _, r := range found {
+		names[r.Key] = true
+	}
+	f.roster.Keep(names)
+	f.rosterRows(found)
+}
+
+func (f *Front) rosterRows(found []rows.Row) {
+	for _, r := range found {
+		f.rosterRow(r)
+	}
+}
+
+func (f *Front) rosterRow(r rows.Row) {
+	if r.Deleted {
+		f.log.Info("An instance left the roster.", "instance", r.Key, "rowVersion", r.Version)
+		if f.roster.Remove(r.Key) && !f.leaving.Load() {
+			f.group.Go(f.register)
+		}
+		return
+	}
+	e, err := roster.Decode(r)
+	if err != nil {
+		f.log.Warn("An entry of the roster can't be read.", "instance", r.Key, "error", err)
+		return
+	}
+	f.roster.Set(e)
+	f.log.Info("An instance is on the roster.", "instance", e.Name, "address", e.Address, "domain", e.FailureDomain,
+		"start", e.Start, "instances", f.roster.Len(), "rowVersion", r.Version)
+}
+
+// register puts this instance on the roster.
+func (f *Front) register(ctx context.Context) {
+	txn, err := f.roster.Registration()
+	if err != nil {
+		f.log.Error("The instance's entry can't be encoded.", "error", err)
+		return
+	}
+	if _, err := rows.Settle(ctx, f.store, txn); err != nil {
+		f.log.Warn("The instance is not on the roster.", "error", err)
+	}
+}
+
+func (f *Front) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if reason := f.notReady(); reason != "" {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = strings.NewReader("ready\n").WriteTo(w)
+}
+
+// notReady tells why the balancer should send no new connections, or returns
+// an empty text.
+func (f *Front) notReady() string {
+	age, known := f.watcher.Age(common.Uptime())
+	switch {
+	case f.leaving.Load():
+		return "stopping"
+	case !known || f.watcher.View().Version == 0:
+		return "no configuration is known yet"
+	case age > time.Duration(f.settings.KeyRevocation)-keyMargin:
+		return "the configuration is too old"
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/gate/exchange.go
@@ -0,0 +1,271 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/share"
+	"github.com/buckthorntide/buckthorntide/site"
+	"github.com/buckthorntide/buckthorntide/turns"
+)
+
+// exchange is one request of a caller on its way through.
+type exchange struct {
+	gate  *Gate
+	w     http.ResponseWriter
+	r     *http.Request
+	call  Call
+	view  *site.View
+	route *site.Route
+	team  *site.Team
+	// service is the one of the route's targets that the request goes to.
+	service *site.Service
+	start   time.Time
+	// expires is when the caller stops waiting, timeout when the route does.
+	expires time.Time
+	timeout time.Time
+	// quota is set while a token of it is taken for a request that hasn't run.
+	quota    *share.Quota
+	reserved bool
+	tokens   int
+	// input is the turn's own part of the body, body all that upstreams get.
+	input     []byte
+	body      []byte
+	ancestors []string
+	output    []byte
+	// record is what the log line at the end tells.
+	record record
+}
+
+// admit decides whether the request may be passed on. It has answered where it
+// returns false.
+func (x *exchange) admit() bool {
+	steps := []func() *refusal{x.findRoute, x.checkKey, x.readBody, x.takeQuota, x.joinTurns, x.reserveBudget}
+	for _, step := range steps {
+		if no := step(); no != nil {
+			x.refuse(no)
+			x.returnQuota()
+			return false
+		}
+	}
+	return true
+}
+
+func newExchange(g *Gate, w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{
+		gate:  g,
+		w:     w,
+		r:     r,
+		call:  g.Codec.ReadCall(r),
+		view:  g.Views.View(),
+		start: time.Now(),
+	}
+}
+
+func (x *exchange) findRoute() *refusal {
+	age, known := x.gate.Views.Age(common.Uptime())
+	x.record.age = age
+	if !known || x.view.Version == 0 {
+		return refuseUnready("no configuration is known yet")
+	}
+	x.route = x.view.Route(x.call.Host, x.call.Path)
+	if x.route == nil {
+		if age > x.gate.Config.RouteMaxAge {
+			return refuseUnready("the route is unknown and the configuration may be old")
+		}
+		return &refusal{status: http.StatusNotFound, reason: "no route matches"}
+	}
+	x.timeout = x.start.Add(x.route.Timeout)
+	x.expires = x.timeout
+	if x.call.Patience > 0 {
+		x.expires = x.start.Add(x.call.Patience)
+	}
+	x.service = x.view.Service(x.target())
+	if x.service == nil {
+		return refuseUnready("the route's service is unknown")
+	}
+	return nil
+}
+
+// target picks one of the route's services by weight. A program stays with
+// the one that its first request went to.
+func (x *exchange) target() string {
+	targets := x.route.Targets
+	if len(targets) == 0 {
+		return ""
+	}
+	total := 0
+	for _, t := range targets {
+		total += max(0, t.Weight)
+	}
+	if len(targets) == 1 || total == 0 {
+		return targets[0].Service
+	}
+	name := x.call.Program
+	if name == "" {
+		name = x.call.ID
+	}
+	at := int(hash(name) % uint64(total))
+	for _, t := range targets {
+		at -= max(0, t.Weight)
+		if at < 0 {
+			return t.Service
+		}
+	}
+	return targets[0].Service
+}
+
+func (x *exchange) checkKey() *refusal {
+	if x.route.Public {
+		return nil
+	}
+	if x.record.age > x.gate.Config.KeyMaxAge {
+		return refuseUnready("keys may have been withdrawn since they were last read")
+	}
+	x.team = x.view.TeamOfKey(x.call.Key)
+	if x.team == nil {
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	return nil
+}
+
+func (x *exchange) readBody() *refusal {
+	limit := int64(x.view.Limits.BodyBytes)
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if x.r.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	}
+	if err != nil {
+		return &refusal{reason: "the caller broke off", broken: true}
+	}
+	x.input, x.body = body, body
+	return nil
+}
+
+func readAll(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(r)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(r, body)
+	return body, err
+}
+
+func (x *exchange) takeQuota() *refusal {
+	if x.team == nil || x.team.Rate <= 0 {
+		return nil
+	}
+	q := share.Quota{Name: "team/" + x.team.Name, Rate: x.team.Rate, Burst: max(1, x.team.Burst)}
+	if !x.gate.Quotas.Admit(x.r.Context(), q) {
+		return &refusal{status: http.StatusTooManyRequests, reason: "the team's quota is used up", retryAfter: quotaRetry(q)}
+	}
+	x.quota = &q
+	return nil
+}
+
+func (x *exchange) returnQuota() {
+	if x.quota != nil {
+		x.gate.Quotas.Return(*x.quota)
+		x.quota = nil
+	}
+}
+
+// joinTurns puts the turns that this one continues before its input.
+func (x *exchange) joinTurns() *refusal {
+	if !x.route.Conversation || x.call.PreviousTurn == "" {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.limit())
+	defer cancel()
+	chain, err := x.gate.Turns.Chain(ctx, x.teamName(), x.call.PreviousTurn)
+	if errors.Is(err, turns.ErrNoTurn) {
+		return &refusal{status: http.StatusNotFound, reason: "no such turn"}
+	}
+	if err != nil {
+		return refuseUnready("the previous turn can't be looked up: " + err.Error())
+	}
+	size := len(x.input)
+	for _, t := range chain {
+		size += len(t.Input) + len(t.Output)
+	}
+	x.body = make([]byte, 0, size)
+	for _, t := range chain {
+		x.body = append(append(x.body, t.Input...), t.Output...)
+		x.ancestors = append(x.ancestors, t.ID)
+	}
+	x.body = append(x.body, x.input...)
+	return nil
+}
+
+func (x *exchange) reserveBudget() *refusal {
+	if !x.call.HasBudget || x.route.Kind != site.Stream || x.call.Program == "" {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(x.r.Context(), x.limit())
+	defer cancel()
+	err := x.gate.Budgets.Reserve(ctx, x.programKey(), x.call.Budget, x.call.MaxTokens, common.Uptime())
+	if err == nil {
+		x.reserved = true
+		return nil
+	}
+	if isSpent(err) {
+		return &refusal{status: http.StatusPaymentRequired, reason: "the program's budget is spent"}
+	}
+	return refuseUnready("the program's budget can't be read: " + err.Error())
+}
+
+// settle ends what was set aside for the request.
+func (x *exchange) settle() {
+	if x.reserved {
+		x.gate.Budgets.Settle(x.programKey(), x.call.MaxTokens, x.tokens)
+	}
+	if !x.record.ran {
+		x.returnQuota()
+	}
+}
+
+// limit is when the request must have its answer.
+func (x *exchange) limit() time.Time {
+	if x.timeout.Before(x.expires) {
+		return x.timeout
+	}
+	return x.expires
+}
+
+// programKey names the program among those of all teams.
+func (x *exchange) programKey() string {
+	return strings.Join([]string{x.teamName(), x.call.Program}, "/")
+}
+
+func (x *exchange) teamName() string {
+	if x.team == nil {
+		return ""
+	}
+	return x.team.Name
+}
+
+func (x *exchange) priority() int {
+	p := x.route.Priority
+	if x.team != nil && x.team.HasPriority {
+		p = x.team.Priority
+	}
+	return min(max(p, highestPriority), lowestPriority)
+}
+
+// repeatable tells whether the request may run more than once.
+func (x *exchange) repeatable() bool {
+	return x.route.Kind == site.Idempotent || (x.route.Kind == site.Stream && x.route.Resumable)
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,112 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/share"
+	"github.com/buckthorntide/buckthorntide/site"
+	"github.com/buckthorntide/buckthorntide/turns"
+)
+
+type (
+	// Views tell what is known of the deployment.
+	Views interface {
+		View() *site.View
+		// Age is how old the knowledge of routes and keys is at most; ok is false
+		// before there is any.
+		Age(now time.Duration) (age time.Duration, ok bool)
+	}
+
+	// Quotas admit requests.
+	Quotas interface {
+		Admit(ctx context.Context, q share.Quota) bool
+		AdmitOwn(q share.Quota) bool
+		Return(q share.Quota)
+	}
+
+	// Budgets hold programs to their tokens.
+	Budgets interface {
+		Reserve(ctx context.Context, program string, total, most int, now time.Duration) error
+		Settle(program string, most, tokens int)
+	}
+
+	// Turns keep and find turns of conversations.
+	Turns interface {
+		Keep(ctx context.Context, t *turns.Turn) error
+		Chain(ctx context.Context, team, id string) ([]*turns.Turn, error)
+	}
+
+	// Picker chooses upstreams.
+	Picker interface {
+		Pick(view *site.View, need pick.Need) *site.Upstream
+		Done(upstream string, outcome pick.Outcome, now time.Duration)
+		Report(upstream string, load pick.Load, now time.Duration)
+	}
+
+	// Config has what a gate is set to.
+	Config struct {
+		// FailureDomain is this instance's.
+		FailureDomain string
+		// KeyMaxAge is how old the knowledge of keys may be for a key to count.
+		KeyMaxAge time.Duration
+		// RouteMaxAge is how old the knowledge of routes may be for a missing
+		// route to be told as such.
+		RouteMaxAge time.Duration
+		// ColdBurst is how many requests beyond its rate a cold upstream bears in
+		// a second, as a share of the rate.
+		ColdBurst float64
+	}
+
+	// Parts are what a gate is made of.
+	Parts struct {
+		Log       hclog.Logger
+		Metrics   metrics.Registry
+		Codec     Codec
+		Views     Views
+		Quotas    Quotas
+		Budgets   Budgets
+		Turns     Turns
+		Picker    Picker
+		Transport http.RoundTripper
+		Config    Config
+	}
+
+	// Gate is the handler of callers' requests. It is safe for concurrent use.
+	Gate struct {
+		Parts
+		meter *meter
+		// leaving is closed once callers should go elsewhere.
+		leaving chan struct{}
+	}
+)
+
+// NewGate returns a gate of the parts.
+func NewGate(parts Parts) *Gate {
+	return &Gate{Parts: parts, meter: newMeter(parts.Metrics), leaving: make(chan struct{})}
+}
+
+// Leave asks callers with open connections to go elsewhere. It must be called
+// once at most.
+func (g *Gate) Leave() { close(g.leaving) }
+
+// ServeHTTP takes one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-g.leaving:
+		w.Header().Set("Connection", "close")
+	default:
+	}
+	x := newExchange(g, w, r)
+	defer x.report()
+	if !x.admit() {
+		return
+	}
+	defer x.settle()
+	x.forward()
+}
--- /dev/null
+++ b/gate/plain.go
@@ -0,0 +1,70 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+// passPlain passes a whole answer on.
+func (x *exchange) passPlain(u *site.Upstream, d *delivery, resp *http.Response) verdict {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
+	now := common.Uptime()
+	if err != nil {
+		x.gate.Picker.Done(u.ID, pick.Broken, now)
+		x.note(u, "broke off: "+err.Error())
+		return mayHaveRun
+	}
+	x.gate.Picker.Done(u.ID, pick.Answered, now)
+	x.note(u, resp.Status)
+	answer := &plainAnswer{status: resp.StatusCode, header: resp.Header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError && x.repeatable() {
+		d.failure = answer
+		return failedAnswer
+	}
+	if len(body) == maxBufferedAnswer {
+		return x.passLong(answer, resp)
+	}
+	x.writePlain(answer)
+	return done
+}
+
+// writePlain answers with an upstream's whole answer.
+func (x *exchange) writePlain(answer *plainAnswer) {
+	x.gate.Codec.WriteAnswer(x.w.Header(), answer.header)
+	if x.call.Method != http.MethodHead && bodyAllowed(answer.status) {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	x.record.status = answer.status
+	x.record.first = time.Since(x.start)
+	x.w.WriteHeader(answer.status)
+	if _, err := x.w.Write(answer.body); err != nil {
+		x.record.reason = "the caller was gone: " + err.Error()
+	}
+}
+
+// passLong passes on an answer that is too large to be held whole.
+func (x *exchange) passLong(answer *plainAnswer, resp *http.Response) verdict {
+	x.gate.Codec.WriteAnswer(x.w.Header(), answer.header)
+	x.record.status = answer.status
+	x.record.first = time.Since(x.start)
+	x.w.WriteHeader(answer.status)
+	_, err := x.w.Write(answer.body)
+	if err == nil {
+		_, err = io.Copy(x.w, resp.Body)
+	}
+	if err != nil {
+		x.record.reason = "a long answer broke off: " + err.Error()
+		x.abort()
+	}
+	return done
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/gate/record.go
@@ -0,0 +1,88 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Sample sizes of the latency histograms.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+type (
+	// record collects what the log line of a request tells.
+	record struct {
+		// age is that of the knowledge of routes and keys.
+		age      time.Duration
+		status   int
+		reason   string
+		attempts int
+		// trail names the upstreams that were asked, with what each one told.
+		trail string
+		// ran says that an upstream has run the request, or may have.
+		ran   bool
+		first time.Duration
+		// events were passed on.
+		events int
+		kept   string
+		// cut ends the connection without a complete answer.
+		cut bool
+	}
+
+	meter struct {
+		requests metrics.Counter
+		refused  metrics.Counter
+		failed   metrics.Counter
+		total    metrics.Histogram
+		first    metrics.Histogram
+	}
+)
+
+func newMeter(registry metrics.Registry) *meter {
+	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
+	return &meter{
+		requests: metrics.GetOrRegisterCounter("gate.requests", registry),
+		refused:  metrics.GetOrRegisterCounter("gate.refused", registry),
+		failed:   metrics.GetOrRegisterCounter("gate.failed", registry),
+		total:    metrics.GetOrRegisterHistogram("gate.totalMs", registry, sample()),
+		first:    metrics.GetOrRegisterHistogram("gate.firstByteMs", registry, sample()),
+	}
+}
+
+// report writes the request's log line and cuts the connection where the
+// answer must not look complete.
+func (x *exchange) report() {
+	taken := time.Since(x.start)
+	x.gate.meter.count(x.record, taken)
+	route := ""
+	if x.route != nil {
+		route = x.route.Name
+	}
+	x.gate.Log.Info("Request ended.", "request", x.call.ID, "route", route, "team", x.teamName(),
+		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn,
+		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
+		"events", x.record.events, "kept", x.record.kept, "firstMs", x.record.first.Milliseconds(),
+		"totalMs", taken.Milliseconds(), "patienceMs", x.call.Patience.Milliseconds(),
+		"config", x.view.Version, "configAgeMs", x.record.age.Milliseconds(), "cut", x.record.cut)
+	if x.record.cut {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (m *meter) count(r record, taken time.Duration) {
+	m.requests.Inc(1)
+	m.total.Update(taken.Milliseconds())
+	if r.first > 0 {
+		m.first.Update(r.first.Milliseconds())
+	}
+	switch {
+	case r.cut, r.status >= http.StatusInternalServerError && r.ran:
+		m.failed.Inc(1)
+	case r.status >= http.StatusBadRequest && !r.ran:
+		m.refused.Inc(1)
+	}
+}
--- /dev/null
+++ b/gate/refusal.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/share"
+)
+
+const (
+	// highestPriority and lowestPriority bound the ranks that upstreams know.
+	highestPriority = 0
+	lowestPriority  = 9
+	// defaultBodyBytes bounds bodies where the configuration has no limit.
+	defaultBodyBytes = 4 << 20
+	// unreadyRetry is when a caller should come back whom another instance can
+	// most likely serve at once.
+	unreadyRetry = 50 * time.Millisecond
+	// fullRetry is when a caller should come back that no upstream had room
+	// for: about the time of one request of a plain service.
+	fullRetry = 100 * time.Millisecond
+	// maxQuotaRetry bounds the time that a caller beyond its quota is sent away
+	// for; longer ones would be ignored.
+	maxQuotaRetry = time.Second
+	minQuotaRetry = 100 * time.Millisecond
+	// quotaRetryTokens is how many tokens the team earns until then: callers
+	// that were refused together come back together.
+	quotaRetryTokens = 8
+)
+
+// refusal is an answer of the system's own.
+type refusal struct {
+	// status is an HTTP status; 429 and 503 promise that the request didn't run
+	// and won't.
+	status     int
+	reason     string
+	retryAfter time.Duration
+	// broken ends the connection without an answer.
+	broken bool
+}
+
+func refuseUnready(reason string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: unreadyRetry}
+}
+
+func refuseFull(reason string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, reason: reason, retryAfter: fullRetry}
+}
+
+// refuse answers the request.
+func (x *exchange) refuse(no *refusal) {
+	x.record.status, x.record.reason = no.status, no.reason
+	if no.broken {
+		x.record.reason = no.reason
+		x.abort()
+		return
+	}
+	x.gate.Codec.WriteRefusal(x.w.Header(), x.call.ID, no.retryAfter)
+	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	x.w.WriteHeader(no.status)
+	if _, err := x.w.Write([]byte(no.reason + "\n")); err != nil {
+		x.record.reason += "; the caller was gone"
+	}
+}
+
+// abort marks the exchange so that its connection is cut without an end.
+func (x *exchange) abort() { x.record.cut = true }
+
+func quotaRetry(q share.Quota) time.Duration {
+	return min(max(quotaRetryTokens*q.Wait(), minQuotaRetry), maxQuotaRetry)
+}
+
+func isSpent(err error) bool { return errors.Is(err, budget.ErrSpent) }
+
+func hash(text string) uint64 { return xxhash.Sum64String(text) }
--- /dev/null
+++ b/gate/stream.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/site"
+	"github.com/buckthorntide/buckthorntide/turns"
+)
+
+// passStream passes whole events on as they come.
+func (x *exchange) passStream(u *site.Upstream, d *delivery, resp *http.Response, timer *time.Timer) verdict {
+	events := newEventReader(resp.Body)
+	controller := http.NewResponseController(x.w)
+	for {
+		ev, err := events.next()
+		if errors.Is(err, io.EOF) {
+			x.gate.Picker.Done(u.ID, pick.Answered, common.Uptime())
+			x.note(u, "whole stream")
+			x.start200(d, resp)
+			return x.endStream()
+		}
+		if err != nil {
+			return x.streamBroken(u, err)
+		}
+		if !d.started {
+			// From here on the caller waits for the end, not for the beginning.
+			timer.Reset(time.Until(x.expires))
+		}
+		x.start200(d, resp)
+		if !x.passEvent(ev, d, controller) {
+			x.gate.Picker.Done(u.ID, pick.Abandoned, common.Uptime())
+			x.note(u, "stream left by the caller")
+			return done
+		}
+	}
+}
+
+// start200 passes the head of the first upstream's answer on, once.
+func (x *exchange) start200(d *delivery, resp *http.Response) {
+	if d.started {
+		return
+	}
+	d.started = true
+	x.gate.Codec.WriteAnswer(x.w.Header(), resp.Header)
+	// The length of a stream that may go on elsewhere isn't known.
+	x.w.Header().Del("Content-Length")
+	x.record.status = resp.StatusCode
+	x.record.first = time.Since(x.start)
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// passEvent hands one event to the caller. It returns false if the caller is
+// gone.
+func (x *exchange) passEvent(ev event, d *delivery, controller *http.ResponseController) bool {
+	// Counted before the write: what may have reached the caller is handed out.
+	if ev.hasData || ev.id != "" {
+		x.record.events++
+		x.tokens += x.eventTokens()
+	}
+	if ev.id != "" {
+		d.lastEvent = ev.id
+	}
+	if x.route.Conversation && ev.hasData {
+		x.output = append(append(x.output, ev.data...), '\n')
+	}
+	_, err := x.w.Write(ev.raw)
+	if err == nil {
+		err = controller.Flush()
+	}
+	if err != nil {
+		x.record.reason = "the caller was gone: " + err.Error()
+		return false
+	}
+	return true
+}
+
+func (x *exchange) streamBroken(u *site.Upstream, err error) verdict {
+	outcome := pick.Broken
+	if x.r.Context().Err() != nil || time.Now().After(x.expires) {
+		outcome = pick.Abandoned
+	}
+	x.gate.Picker.Done(u.ID, outcome, common.Uptime())
+	x.note(u, "stream broke off: "+err.Error())
+	return mayHaveRun
+}
+
+// endStream makes the turn findable before its answer ends.
+func (x *exchange) endStream() verdict {
+	if !x.route.Conversation {
+		return done
+	}
+	t := &turns.Turn{
+		ID:        x.call.ID,
+		Team:      x.teamName(),
+		Ancestors: x.ancestors,
+		Input:     x.input,
+		Output:    x.output,
+		Retention: x.route.Retention,
+	}
+	if err := x.gate.Turns.Keep(context.WithoutCancel(x.r.Context()), t); err != nil {
+		x.record.kept = err.Error()
+		x.record.reason = "the turn could not be kept"
+		x.abort()
+		return done
+	}
+	x.record.kept = "yes"
+	return done
+}
+
+// eventTokens is how many tokens each event counts for.
+func (x *exchange) eventTokens() int {
+	if x.service.Model == nil {
+		return 0
+	}
+	return x.service.Model.EventTokens
+}
--- /dev/null
+++ b/mates/mates.go
@@ -0,0 +1,193 @@
+// Package mates calls the other instances and answers their calls.
+package mates
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/roster"
+	"github.com/buckthorntide/buckthorntide/share"
+	"github.com/buckthorntide/buckthorntide/turns"
+)
+
+const (
+	// callWait bounds a call that a request waits for; a round trip between
+	// failure domains takes about 3 ms.
+	callWait = 40 * time.Millisecond
+	// moveWait bounds a call that carries turns.
+	moveWait = 80 * time.Millisecond
+	// rest is how long an instance that didn't answer is left out.
+	rest = 500 * time.Millisecond
+	// copies is how many other instances hold a turn that the store didn't take.
+	copies = 2
+
+	// errResting says that the instance didn't answer just now.
+	errResting = errors.ConstError("instance did not answer just now")
+	// errHolderGone says that the process that held a slice has ended.
+	errHolderGone = errors.ConstError("holder has ended")
+)
+
+// Mates are the other instances. It is safe for concurrent use.
+type Mates struct {
+	log    hclog.Logger
+	roster *roster.Roster
+	conns  *peer.Conns
+}
+
+// NewMates returns the callers of the other instances on the roster.
+func NewMates(log hclog.Logger, r *roster.Roster, conns *peer.Conns) *Mates {
+	return &Mates{log: log, roster: r, conns: conns}
+}
+
+// HolderName names a process of an instance.
+func HolderName(e roster.Entry) string { return e.Name + "#" + strconv.FormatInt(e.Start, 10) }
+
+// Release asks a holder of a program's tokens for what it doesn't need.
+func (m *Mates) Release(ctx context.Context, holder, program string) (int, error) {
+	name, _, _ := strings.Cut(holder, "#")
+	e, ok := m.roster.Find(name)
+	if !ok || HolderName(e) != holder {
+		return 0, errHolderGone
+	}
+	reply, err := call(ctx, m, budget.Release, e, &budget.ReleaseRequest{Program: program}, callWait)
+	if err != nil {
+		return 0, err
+	}
+	if reply.Holder != holder {
+		return 0, errHolderGone
+	}
+	return reply.Freed, nil
+}
+
+// Lend asks the holders of a quota for tokens, all at once, and returns the
+// sum of what they gave.
+func (m *Mates) Lend(ctx context.Context, q share.Quota, want float64) float64 {
+	ranked := m.roster.Ranked(q.Name)
+	ranked = ranked[:min(len(ranked), q.Holders(len(ranked)))]
+	lenders := make([]roster.Entry, 0, len(ranked))
+	for _, e := range ranked {
+		if e.Name != m.roster.Self().Name {
+			lenders = append(lenders, e)
+		}
+	}
+	if len(lenders) == 0 {
+		return 0
+	}
+	each := max(1, want/float64(len(lenders)))
+	var mu sync.Mutex
+	sum := 0.0
+	var wg sync.WaitGroup
+	for _, e := range lenders {
+		wg.Go(func() {
+			reply, err := call(ctx, m, share.Lend, e, &share.LendRequest{Quota: q, Want: each}, callWait)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sum += reply.Tokens
+		})
+	}
+	wg.Wait()
+	return sum
+}
+
+// Hold hands a turn to instances of other failure domains and returns how many
+// hold it.
+func (m *Mates) Hold(ctx context.Context, t *turns.Turn) int {
+	held := 0
+	for _, e := range m.spread() {
+		if _, err := call(ctx, m, turns.Hold, e, &turns.HoldRequest{Turn: *t}, moveWait); err == nil {
+			held++
+		}
+		if held == copies {
+			break
+		}
+	}
+	return held
+}
+
+// Find asks all instances for turns.
+func (m *Mates) Find(ctx context.Context, ids []string) ([]turns.Turn, bool) {
+	others := m.roster.Others()
+	var mu sync.Mutex
+	var found []turns.Turn
+	all := true
+	var wg sync.WaitGroup
+	for _, e := range others {
+		wg.Go(func() {
+			reply, err := call(ctx, m, turns.Find, e, &turns.FindRequest{IDs: ids}, moveWait)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				all = false
+				return
+			}
+			found = append(found, reply.Turns...)
+		})
+	}
+	wg.Wait()
+	return found, all
+}
+
+// Any returns up to n other instances at random that answered last time.
+func (m *Mates) Any(n int) []roster.Entry {
+	var found []roster.Entry
+	others := m.roster.Others()
+	now := common.Uptime()
+	for _, i := range rand.Perm(len(others)) {
+		if len(found) == n {
+			break
+		}
+		if !m.roster.Resting(others[i].Name, now, rest) {
+			found = append(found, others[i])
+		}
+	}
+	return found
+}
+
+// spread returns the other instances in a random order, those of other failure
+// domains first.
+func (m *Mates) spread() []roster.Entry {
+	var far, near []roster.Entry
+	for _, e := range m.Any(m.roster.Len()) {
+		if e.FailureDomain == m.roster.Self().FailureDomain {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
+		}
+	}
+	return append(far, near...)
+}
+
+// call makes one call and notes whether the instance answers.
+func call[Q, R any](ctx context.Context, m *Mates, method peer.Method[Q, R], e roster.Entry, q *Q, wait time.Duration) (*R, error) {
+	if m.roster.Resting(e.Name, common.Uptime(), rest) {
+		return nil, errResting
+	}
+	conn, err := m.conns.To(e.Address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	limited, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply, err := method.Call(limited, conn, q)
+	switch {
+	case err == nil:
+		m.roster.Reached(e.Name)
+	case ctx.Err() == nil:
+		m.roster.Missed(e.Name, common.Uptime())
+		m.log.Debug("An instance did not answer.", "instance", e.Name, "method", method.Name, "error", err)
+	}
+	return reply, err
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,324 @@
+// Package pick chooses the upstream that a request is sent to, from what this
+// instance has seen of the upstreams. It does no I/O.
+package pick
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+const (
+	// loadTTL is how long a reported load says more than the requests that this
+	// instance has under way; a request of a model takes about as long.
+	loadTTL = 800 * time.Millisecond
+	// homeTTL is how long a program's last upstream is remembered; tool pauses
+	// are far shorter.
+	homeTTL = 20 * time.Second
+	// homeSlack is how much fuller, as a share of its slots, the upstream that
+	// holds the program's prompt may be than the emptiest one.
+	homeSlack = 0.35
+	// objectSlack is the same for the upstream that knows an object.
+	objectSlack = 0.34
+	// firstRest and longestRest bound how long an upstream gets nothing after a
+	// failure; the time doubles with each one in a row.
+	firstRest   = 300 * time.Millisecond
+	longestRest = 4 * time.Second
+	// busyRest is how long an upstream gets nothing after it refused a request
+	// for lack of room; about one request of a plain service.
+	busyRest = 25 * time.Millisecond
+	// sweepSize is how many programs are remembered before old ones are dropped.
+	sweepSize = 4096
+)
+
+// Outcomes of a request at an upstream.
+const (
+	// Answered requests got a whole answer.
+	Answered Outcome = iota
+	// Busy upstreams refused for lack of room.
+	Busy
+	// Broken upstreams failed to connect or broke off.
+	Broken
+	// Moved upstreams no longer have their address.
+	Moved
+	// Abandoned requests were given up by this side.
+	Abandoned
+)
+
+type (
+	// Outcome is how a request at an upstream ended.
+	Outcome int
+
+	// Load is what an upstream said of itself with an answer.
+	Load struct {
+		Running int
+		Waiting int
+		Slots   int
+	}
+
+	// Need describes the request that an upstream is sought for.
+	Need struct {
+		Service string
+		// Program and Object name what the upstream may hold already.
+		Program string
+		Object  string
+		// Domain is this instance's failure domain.
+		Domain string
+		// Tried are upstreams that are no longer asked.
+		Tried []string
+		// Cold tells whether a cold upstream may be sent the request. It may
+		// take a token of the upstream's allowance.
+		Cold func(u *site.Upstream) bool
+		// Now is on the clock of common.Uptime.
+		Now time.Duration
+	}
+
+	// Picker remembers what became of earlier requests. It is safe for
+	// concurrent use.
+	Picker struct {
+		mu       sync.Mutex
+		seen     map[string]*record
+		homes    map[string]home
+		sweptLen int
+	}
+
+	record struct {
+		inFlight  int
+		load      Load
+		loadAt    time.Duration
+		atLoad    int
+		failures  int
+		restUntil time.Duration
+	}
+
+	home struct {
+		upstream string
+		usedAt   time.Duration
+	}
+
+	candidate struct {
+		upstream *site.Upstream
+		fill     float64
+		cold     bool
+	}
+)
+
+// NewPicker returns a picker that has seen nothing.
+func NewPicker() *Picker {
+	return &Picker{seen: make(map[string]*record), homes: make(map[string]home), sweptLen: sweepSize}
+}
+
+// Pick returns the upstream for the request and counts the request as under
+// way there until Done. It returns nil if none may be asked.
+func (p *Picker) Pick(view *site.View, need Need) *site.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := p.candidates(view, need, false)
+	if len(found) == 0 {
+		// Rather a doubtful upstream than none.
+		found = p.candidates(view, need, true)
+	}
+	for len(found) > 0 {
+		i := p.choose(found, need)
+		c := found[i]
+		if !c.cold || need.Cold == nil || need.Cold(c.upstream) {
+			p.begin(c.upstream, need)
+			return c.upstream
+		}
+		found = append(found[:i], found[i+1:]...)
+	}
+	return nil
+}
+
+// Done notes the end of a request at an upstream.
+func (p *Picker) Done(upstream string, outcome Outcome, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(upstream)
+	r.inFlight = max(0, r.inFlight-1)
+	switch outcome {
+	case Answered:
+		r.failures = 0
+	case Busy:
+		r.restUntil = max(r.restUntil, now+busyRest)
+	case Broken, Moved:
+		r.failures++
+		rest := longestRest
+		if r.failures < 5 {
+			rest = min(longestRest, firstRest<<(r.failures-1))
+		}
+		r.restUntil = max(r.restUntil, now+rest)
+	case Abandoned:
+	}
+}
+
+// Report notes the load that an upstream told with an answer.
+func (p *Picker) Report(upstream string, load Load, now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.record(upstream)
+	r.load, r.loadAt, r.atLoad = load, now, r.inFlight
+}
+
+// Home returns the upstream that the program last ran at, or an empty text.
+func (p *Picker) Home(program string, now time.Duration) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.home(program, now)
+}
+
+func (p *Picker) home(program string, now time.Duration) string {
+	h, ok := p.homes[program]
+	if !ok || now-h.usedAt > homeTTL {
+		return ""
+	}
+	return h.upstream
+}
+
+func (p *Picker) record(upstream string) *record {
+	r, ok := p.seen[upstream]
+	if !ok {
+		r = &record{}
+		p.seen[upstream] = r
+	}
+	return r
+}
+
+func (p *Picker) begin(u *site.Upstream, need Need) {
+	p.record(u.ID).inFlight++
+	if need.Program == "" {
+		return
+	}
+	p.homes[need.Program] = home{upstream: u.ID, usedAt: need.Now}
+	if len(p.homes) < p.sweptLen {
+		return
+	}
+	for program, h := range p.homes {
+		if need.Now-h.usedAt > homeTTL {
+			delete(p.homes, program)
+		}
+	}
+	p.sweptLen = max(sweepSize, 2*len(p.homes))
+}
+
+func (p *Picker) candidates(view *site.View, need Need, doubtful bool) []candidate {
+	pool := view.Pool(need.Service)
+	found := make([]candidate, 0, len(pool))
+	for _, u := range pool {
+		if u.State != site.Ready || view.DomainOut(u.FailureDomain) || contains(need.Tried, u.ID) {
+			continue
+		}
+		r := p.record(u.ID)
+		if !doubtful && r.restUntil > need.Now {
+			continue
+		}
+		found = append(found, candidate{
+			upstream: u,
+			fill:     r.fill(u, need.Now),
+			cold:     u.ColdUntil > need.Now,
+		})
+	}
+	return found
+}
+
+// fill estimates the share of the upstream's slots that are taken or waited
+// for.
+func (r *record) fill(u *site.Upstream, now time.Duration) float64 {
+	busy := r.inFlight
+	if r.loadAt > 0 && now-r.loadAt < loadTTL {
+		// The report counted this instance's requests of that moment, the one
+		// that it came with included.
+		busy = max(busy, r.load.Running+r.load.Waiting+r.inFlight-r.atLoad)
+	}
+	return float64(busy) / float64(max(1, u.Slots))
+}
+
+// choose returns the index of the candidate to try first.
+func (p *Picker) choose(found []candidate, need Need) int {
+	least := emptiest(found, need)
+	name, slack := need.Object, objectSlack
+	if need.Program != "" && need.Object == "" {
+		name, slack = need.Program, homeSlack
+		if i := indexOf(found, p.home(need.Program, need.Now)); i >= 0 && holds(found[i], found[least], slack) {
+			return i
+		}
+	}
+	if name == "" {
+		return least
+	}
+	if i := rendezvous(found, name); holds(found[i], found[least], slack) {
+		return i
+	}
+	return least
+}
+
+// holds tells whether the preferred candidate is worth its fuller queue.
+func holds(preferred, least candidate, slack float64) bool {
+	return !preferred.cold && preferred.fill <= least.fill+slack
+}
+
+// emptiest returns the warm candidate with the lowest fill, or the emptiest
+// cold one. Equal ones are told apart by the request, so that instances that
+// see the same don't all take the first.
+func emptiest(found []candidate, need Need) int {
+	best := 0
+	for i := 1; i < len(found); i++ {
+		if less(found[i], found[best], need) {
+			best = i
+		}
+	}
+	return best
+}
+
+func less(a, b candidate, need Need) bool {
+	if a.cold != b.cold {
+		return b.cold
+	}
+	if a.fill != b.fill {
+		return a.fill < b.fill
+	}
+	if aNear, bNear := a.upstream.FailureDomain == need.Domain, b.upstream.FailureDomain == need.Domain; aNear != bNear {
+		return aNear
+	}
+	salt := need.Program + need.Object + need.Domain + need.Now.String()
+	return weight(a.upstream.ID, salt) > weight(b.upstream.ID, salt)
+}
+
+func rendezvous(found []candidate, name string) int {
+	best, most := 0, uint64(0)
+	for i, c := range found {
+		if w := weight(c.upstream.ID, name); w >= most {
+			best, most = i, w
+		}
+	}
+	return best
+}
+
+func weight(id, name string) uint64 {
+	var d xxhash.Digest
+	_, _ = d.WriteString(id)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
+
+func indexOf(found []candidate, id string) int {
+	for i, c := range found {
+		if c.upstream.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func contains(ids []string, id string) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
--- a/relay/header.go
+++ b/relay/header.go
@@ -63,12 +63,18 @@
 }
 
 func isDropped(name string, in http.Header) bool {
-	for _, h := range hopHeaders {
+	for _, h := range callerHeaders {
 		if strings.EqualFold(h, name) {
 			return true
 		}
 	}
-	for _, h := range callerHeaders {
+	return IsHop(name, in)
+}
+
+// IsHop tells whether the field of the header is meant for one connection
+// only.
+func IsHop(name string, in http.Header) bool {
+	for _, h := range hopHeaders {
 		if strings.EqualFold(h, name) {
 			return true
 		}
--- /dev/null
+++ b/rows/memory.go
@@ -0,0 +1,164 @@
+package rows
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Memory is a Store in memory for tests and the demo. A fault befalls calls
+// while it is set.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[ID]Row
+	history []Row
+	floor   int64
+	version int64
+	changed chan struct{}
+	fault   error
+	applied bool
+	calls   int
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{rows: make(map[ID]Row), changed: make(chan struct{})}
+}
+
+// SetFault lets every call fail with the error; nil ends it. With applied set,
+// transactions take effect all the same.
+func (m *Memory) SetFault(fault error, applied bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault, m.applied = fault, applied
+}
+
+// Compact forgets the history.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history, m.floor = nil, m.version
+}
+
+// Calls returns how many calls were made.
+func (m *Memory) Calls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// Commit applies a transaction.
+func (m *Memory) Commit(_ context.Context, txn Txn) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil && !m.applied {
+		return 0, m.fault
+	}
+	if conflict := m.conflict(txn); conflict != nil {
+		return 0, conflict
+	}
+	m.apply(txn)
+	if m.fault != nil {
+		return 0, m.fault
+	}
+	return m.version, nil
+}
+
+// Range reads rows in key order.
+func (m *Memory) Range(_ context.Context, q Query) (Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil {
+		return Page{}, m.fault
+	}
+	var found []Row
+	for id, r := range m.rows {
+		if id.Table == q.Table && id.Part == q.Part && id.Key >= q.From && (q.To == "" || id.Key < q.To) {
+			found = append(found, r)
+		}
+	}
+	slices.SortFunc(found, func(a, b Row) int { return strings.Compare(a.Key, b.Key) })
+	more := q.Limit > 0 && len(found) > q.Limit
+	if more {
+		found = found[:q.Limit]
+	}
+	return Page{Rows: found, More: more, Version: m.version}, nil
+}
+
+// Feed returns the changes of a table.
+func (m *Memory) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := m.changes(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return Page{}, ErrUnknown
+		}
+	}
+}
+
+func (m *Memory) changes(table string, after int64) (Page, chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil {
+		return Page{}, nil, m.fault
+	}
+	if after < m.floor {
+		return Page{}, nil, ErrHistoryGone
+	}
+	page := Page{Version: m.version}
+	for _, r := range m.history {
+		if r.Table == table && r.Version > after {
+			page.Rows = append(page.Rows, r)
+		}
+	}
+	return page, m.changed, nil
+}
+
+func (m *Memory) conflict(txn Txn) error {
+	against := false
+	var current []Row
+	for _, x := range txn.Expect {
+		r := m.rows[x.ID]
+		if r.Version != x.Version {
+			against = true
+		}
+		if r.Version != 0 {
+			current = append(current, r)
+		}
+	}
+	if !against {
+		return nil
+	}
+	return &ConflictError{Rows: current}
+}
+
+func (m *Memory) apply(txn Txn) {
+	m.version++
+	for _, w := range txn.Writes {
+		m.put(Row{ID: w.ID, Value: slices.Clone(w.Value), Version: m.version})
+	}
+	for _, id := range txn.Removes {
+		delete(m.rows, id)
+		m.history = append(m.history, Row{ID: id, Version: m.version, Deleted: true})
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) put(r Row) {
+	m.rows[r.ID] = r
+	m.history = append(m.history, r)
+}
--- /dev/null
+++ b/share/share.go
@@ -0,0 +1,224 @@
+// Package share limits rates over all instances together. Each bucket's rate
+// and burst are divided among some instances, its holders, which lend one
+// another what they don't use. The sum of what all may admit never exceeds the
+// rate, whoever dies or is cut off, without a clock in common or a lease.
+package share
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// maxHolders bounds how many instances a bucket is divided among, and so
+	// the calls that a borrower makes.
+	maxHolders = 12
+	// holderTokens is the least burst that a holder is given, so that no share
+	// is too small to admit a request.
+	holderTokens = 2.0
+	// startFill is how full a bucket is when the instance starts. The other
+	// instances' usage of the last window is unknown then, and a restarted
+	// instance may have used its share just before.
+	startFill = 0.3
+	// demandWindow is the time over which a bucket's usage is averaged.
+	demandWindow = 500 * time.Millisecond
+	// keepTime is how much of its own usage a lender keeps for itself.
+	keepTime = 150 * time.Millisecond
+	// wantTime is how much of its usage a borrower asks for.
+	wantTime = 200 * time.Millisecond
+	// borrowedTTL is how long borrowed tokens can be used. With the bucket's
+	// burst it bounds how far usage can exceed the rate in a window.
+	borrowedTTL = 500 * time.Millisecond
+	// idleBuckets is how long an unused bucket is kept.
+	idleBuckets = time.Minute
+)
+
+type (
+	// Quota is what a bucket admits over all instances.
+	Quota struct {
+		// Name is the same on every instance.
+		Name string
+		// Rate is in requests per second.
+		Rate float64
+		// Burst is in requests.
+		Burst float64
+	}
+
+	// Buckets are the instance's parts of all quotas. It is safe for concurrent
+	// use; times are on the clock of common.Uptime.
+	Buckets struct {
+		// Rank returns the instance's place among the name's holders and the
+		// number of instances.
+		rank    func(name string) (place, members int)
+		mu      sync.Mutex
+		buckets map[string]*bucket
+		sweepAt time.Duration
+	}
+
+	bucket struct {
+		tokens   float64
+		filledAt time.Duration
+		borrowed float64
+		// lapseAt is when the borrowed tokens end.
+		lapseAt time.Duration
+		// usage is in requests per second.
+		usage   float64
+		usageAt time.Duration
+		rate    float64
+		burst   float64
+		// dryUntil is when borrowing is worth another try.
+		dryUntil  time.Duration
+		borrowing bool
+	}
+)
+
+// NewBuckets returns an instance's buckets. Rank tells the instance's place in
+// the order in which a name falls to instances, and how many there are.
+func NewBuckets(rank func(name string) (place, members int)) *Buckets {
+	return &Buckets{rank: rank, buckets: make(map[string]*bucket)}
+}
+
+// Holders returns how many instances the quota is divided among.
+func (q Quota) Holders(members int) int {
+	return max(1, min(members, maxHolders, int(q.Burst/holderTokens)))
+}
+
+// Take admits one request. It reports whether the bucket held a token.
+func (b *Buckets) Take(q Quota, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	k.note(now)
+	return k.take()
+}
+
+// Return gives back the token of a request that didn't run.
+func (b *Buckets) Return(q Quota, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	k.tokens++
+}
+
+// Want tells how many tokens the instance should borrow for the quota now; 0
+// means that it has enough, is borrowing, or found the others dry just now.
+// The caller must end the borrowing with Borrowed.
+func (b *Buckets) Want(q Quota, now time.Duration, urgent bool) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	ahead := k.usage * wantTime.Seconds()
+	if k.dryUntil > now || (!urgent && (k.borrowing || k.tokens+k.borrowed > ahead)) {
+		return 0
+	}
+	k.borrowing = true
+	return max(1, ahead)
+}
+
+// Borrowed adds what the others gave. Nothing at all holds off the next try
+// for the time.
+func (b *Buckets) Borrowed(q Quota, tokens float64, now, holdOff time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	k.borrowing = false
+	if tokens <= 0 {
+		k.dryUntil = now + holdOff
+		return
+	}
+	k.borrowed += tokens
+	k.lapseAt = now + borrowedTTL
+}
+
+// Lend gives another instance up to the tokens that it wants and returns the
+// amount.
+func (b *Buckets) Lend(q Quota, want float64, now time.Duration) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	spare := min(want, k.tokens-k.usage*keepTime.Seconds())
+	if spare < 1 {
+		return 0
+	}
+	k.tokens -= spare
+	return spare
+}
+
+// Wait returns how long the fleet as a whole needs to earn one token.
+func (q Quota) Wait() time.Duration {
+	if q.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / q.Rate)
+}
+
+func (b *Buckets) bucket(q Quota, now time.Duration) *bucket {
+	k, ok := b.buckets[q.Name]
+	if !ok {
+		b.sweep(now)
+		k = &bucket{filledAt: now, usageAt: now}
+		b.buckets[q.Name] = k
+		b.divide(k, q)
+		k.tokens = startFill * k.burst
+	}
+	b.divide(k, q)
+	k.fill(now)
+	return k
+}
+
+// divide sets the instance's part of the quota.
+func (b *Buckets) divide(k *bucket, q Quota) {
+	place, members := b.rank(q.Name)
+	holders := q.Holders(members)
+	if place >= holders {
+		k.rate, k.burst = 0, 0
+		return
+	}
+	k.rate, k.burst = q.Rate/float64(holders), max(1, q.Burst/float64(holders))
+}
+
+func (b *Buckets) sweep(now time.Duration) {
+	if now < b.sweepAt {
+		return
+	}
+	b.sweepAt = now + idleBuckets
+	for name, k := range b.buckets {
+		if now-k.filledAt > idleBuckets {
+			delete(b.buckets, name)
+		}
+	}
+}
+
+func (k *bucket) fill(now time.Duration) {
+	if now > k.filledAt {
+		k.tokens += k.rate * (now - k.filledAt).Seconds()
+		k.filledAt = now
+	}
+	k.tokens = min(k.tokens, k.burst)
+	if now >= k.lapseAt {
+		k.borrowed = 0
+	}
+}
+
+// note counts a request into the average usage.
+func (k *bucket) note(now time.Duration) {
+	since := now - k.usageAt
+	k.usageAt = now
+	fade := max(0, 1-since.Seconds()/demandWindow.Seconds())
+	k.usage = k.usage*fade + 1/demandWindow.Seconds()
+}
+
+func (k *bucket) take() bool {
+	switch {
+	case k.borrowed >= 1:
+		k.borrowed--
+	case k.tokens >= 1:
+		k.tokens--
+	case k.tokens+k.borrowed >= 1:
+		k.tokens -= 1 - k.borrowed
+		k.borrowed = 0
+	default:
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/watch/upstreams.go
@@ -0,0 +1,135 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/rows"
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+// missingInterval is the time between two looks at missing entries.
+const missingInterval = 100 * time.Millisecond
+
+func (w *Watcher) upstreamsAway() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.awayUntil = common.Uptime()
+}
+
+// wholeUpstreams applies a complete read of the upstreams' table.
+func (w *Watcher) wholeUpstreams(found []rows.Row) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := common.Uptime()
+	present := make(map[string]bool, len(found))
+	for _, r := range found {
+		present[r.Key] = true
+	}
+	for id := range w.upstreams {
+		if !present[id] {
+			w.remove(id, now)
+		}
+	}
+	w.applyUpstreams(found, now)
+	w.publish(false)
+}
+
+func (w *Watcher) upstreamRows(found []rows.Row) {
+	if len(found) == 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.applyUpstreams(found, common.Uptime()) {
+		w.publish(false)
+	}
+}
+
+// applyUpstreams notes the rows and tells whether anything changed beside
+// heartbeats.
+func (w *Watcher) applyUpstreams(found []rows.Row, now time.Duration) bool {
+	changed := false
+	for _, r := range found {
+		if !w.newer(r) {
+			continue
+		}
+		if r.Deleted {
+			w.remove(r.Key, now)
+			changed = true
+			continue
+		}
+		changed = w.setUpstream(r, now) || changed
+	}
+	return changed
+}
+
+func (w *Watcher) setUpstream(r rows.Row, now time.Duration) bool {
+	u, err := w.decoder.Upstream(r, now)
+	if err != nil {
+		w.log.Warn("An entry names no upstream.", "entry", r.Key, "rowVersion", r.Version, "error", err)
+		_, known := w.upstreams[r.Key]
+		delete(w.upstreams, r.Key)
+		return known
+	}
+	delete(w.missing, u.ID)
+	before := w.upstreams[u.ID]
+	w.upstreams[u.ID] = u
+	if before != nil && sameUpstream(before, u, now) {
+		return false
+	}
+	w.log.Info("An upstream's state changed.", "upstream", u.ID, "service", u.Service, "address", u.Address,
+		"domain", u.FailureDomain, "draining", u.State == site.Draining, "coldFor", max(0, u.ColdUntil-now), "rowVersion", r.Version)
+	return true
+}
+
+// sameUpstream compares what routing depends on. The end of the cold time
+// moves by the age of each heartbeat, so it only counts while it lies ahead.
+func sameUpstream(a, b *site.Upstream, now time.Duration) bool {
+	const jitter = 200 * time.Millisecond
+	coldAlike := (a.ColdUntil <= now && b.ColdUntil <= now) || (b.ColdUntil-a.ColdUntil).Abs() < jitter
+	return coldAlike && a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
+		a.Slots == b.Slots && a.State == b.State && a.Born == b.Born
+}
+
+// remove takes an entry for gone, at once or, if the store was away just now,
+// after the time that live upstreams need to write it again.
+func (w *Watcher) remove(id string, now time.Duration) {
+	if _, ok := w.upstreams[id]; !ok {
+		return
+	}
+	if w.awayUntil > 0 && now-w.awayUntil < reappearGrace {
+		w.log.Info("An upstream's entry is missing after the store was away.", "upstream", id)
+		w.missing[id] = w.awayUntil + reappearGrace
+		return
+	}
+	w.log.Info("An upstream is gone.", "upstream", id)
+	delete(w.upstreams, id)
+}
+
+// expireMissing drops upstreams whose entries did not come back in time.
+func (w *Watcher) expireMissing(ctx context.Context) {
+	for group.Sleep(ctx, missingInterval) {
+		w.dropMissing(common.Uptime())
+	}
+}
+
+func (w *Watcher) dropMissing(now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	dropped := false
+	for id, until := range w.missing {
+		if now < until {
+			continue
+		}
+		w.log.Info("An upstream is gone.", "upstream", id)
+		delete(w.missing, id)
+		delete(w.upstreams, id)
+		dropped = true
+	}
+	if dropped {
+		w.publish(false)
+	}
+}
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,260 @@
+// Package watch keeps the view of the deployment current from the store's
+// feeds and knows how old that view is.
+package watch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/rows"
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+const (
+	// feedWait is how long the store holds an empty answer. The age of keys is
+	// counted from a call's start, so it also bounds their age in calm times.
+	feedWait = time.Second
+	// feedSlack is how long an answer may take beyond that.
+	feedSlack = 700 * time.Millisecond
+	// readWait bounds the read of a whole table.
+	readWait = 1500 * time.Millisecond
+	// firstRetry and longestRetry bound the pause after a failed call.
+	firstRetry   = 40 * time.Millisecond
+	longestRetry = 250 * time.Millisecond
+	// upstreamPause is the least time between two calls for a table in which
+	// every upstream writes its heartbeats; changes in between come together.
+	upstreamPause = 200 * time.Millisecond
+	// reappearGrace is how long an upstream's entry may be missing after the
+	// store was away; live ones have written it again by then.
+	reappearGrace = 2200 * time.Millisecond
+	// pageRows is the store's largest page.
+	pageRows = 500
+)
+
+type (
+	// Decoder reads the rows that the platform writes.
+	Decoder interface {
+		// Tables returns the operator's and the upstreams' table.
+		Tables() (operator, upstreams string)
+		// Config reads the row if it is the configuration's.
+		Config(row rows.Row) (*site.Config, bool, error)
+		// DomainOut returns the failure domain that the row takes out.
+		DomainOut(id rows.ID) (string, bool)
+		// Upstream reads an upstream's row.
+		Upstream(row rows.Row, now time.Duration) (*site.Upstream, error)
+	}
+
+	// Watcher follows the store. View and the ages may be read at any time.
+	Watcher struct {
+		log       hclog.Logger
+		store     rows.Store
+		decoder   Decoder
+		group     *group.Group
+		view      atomic.Pointer[site.View]
+		freshAt   atomic.Int64
+		mu        sync.Mutex
+		config    *site.Config
+		out       map[string]bool
+		upstreams map[string]*site.Upstream
+		// versions are those of the rows that were applied, removals included.
+		versions map[rows.ID]int64
+		// missing are entries that were removed while the store may have been
+		// away, by the time at which they count as gone.
+		missing map[string]time.Duration
+		// awayUntil is the end of the last disturbance of the upstreams' feed.
+		awayUntil time.Duration
+		changed   func(v *site.View)
+	}
+
+	// feed follows one table.
+	feed struct {
+		table string
+		pause time.Duration
+		// whole applies a complete read of the table, rows one change.
+		whole func(found []rows.Row)
+		rows  func(found []rows.Row)
+		// fresh is called with the start of each call that succeeded.
+		fresh func(at time.Duration)
+		// failed is called with each failure.
+		failed func()
+	}
+)
+
+// NewWatcher returns a watcher; Start begins to follow. The function is called
+// after every change of the view, one call at a time.
+func NewWatcher(log hclog.Logger, store rows.Store, decoder Decoder, changed func(v *site.View)) *Watcher {
+	w := &Watcher{
+		log:       log,
+		store:     store,
+		decoder:   decoder,
+		group:     group.NewGroup(context.Background()),
+		out:       make(map[string]bool),
+		upstreams: make(map[string]*site.Upstream),
+		versions:  make(map[rows.ID]int64),
+		missing:   make(map[string]time.Duration),
+		changed:   changed,
+	}
+	w.view.Store(site.NewView(nil, nil, nil))
+	return w
+}
+
+// Start begins to follow the operator's and the upstreams' table.
+func (w *Watcher) Start() {
+	operator, upstreams := w.decoder.Tables()
+	w.follow(feed{
+		table:  operator,
+		whole:  w.wholeOperator,
+		rows:   w.operatorRows,
+		fresh:  func(at time.Duration) { w.freshen(at) },
+		failed: func() {},
+	})
+	w.follow(feed{
+		table:  upstreams,
+		pause:  upstreamPause,
+		whole:  w.wholeUpstreams,
+		rows:   w.upstreamRows,
+		fresh:  func(time.Duration) {},
+		failed: w.upstreamsAway,
+	})
+	w.group.Go(w.expireMissing)
+}
+
+// Follow follows a table of the project's own until Close.
+func (w *Watcher) Follow(table string, whole, changes func(found []rows.Row)) {
+	w.follow(feed{table: table, pause: upstreamPause, whole: whole, rows: changes, fresh: func(time.Duration) {}, failed: func() {}})
+}
+
+// Close stops following and waits for it.
+func (w *Watcher) Close() { w.group.Close() }
+
+// View returns the current view. It is never nil.
+func (w *Watcher) View() *site.View { return w.view.Load() }
+
+// Age returns how old the knowledge of the operator's table is at most; ok is
+// false before the first read.
+func (w *Watcher) Age(now time.Duration) (age time.Duration, ok bool) {
+	at := time.Duration(w.freshAt.Load())
+	return now - at, at > 0
+}
+
+func (w *Watcher) freshen(at time.Duration) {
+	for {
+		old := w.freshAt.Load()
+		if int64(at) <= old || w.freshAt.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) follow(f feed) {
+	w.group.Go(func(ctx context.Context) {
+		var version int64
+		retry := firstRetry
+		lost := false
+		for ctx.Err() == nil {
+			next, err := w.step(ctx, f, version)
+			if err == nil {
+				if lost {
+					w.log.Info("The feed of a table is back.", "table", f.table, "version", next)
+				}
+				lost, version, retry = false, next, firstRetry
+				group.Sleep(ctx, f.pause)
+				continue
+			}
+			if errors.Is(err, rows.ErrHistoryGone) {
+				w.log.Info("A table's history is gone, it is read anew.", "table", f.table, "after", version)
+				version = 0
+				continue
+			}
+			f.failed()
+			if !lost && ctx.Err() == nil {
+				w.log.Warn("The feed of a table is lost.", "table", f.table, "after", version, "error", err)
+			}
+			lost = true
+			group.Sleep(ctx, retry)
+			retry = min(2*retry, longestRetry)
+		}
+	})
+}
+
+// step makes one call: the whole table for version 0, else what changed.
+func (w *Watcher) step(ctx context.Context, f feed, version int64) (int64, error) {
+	start := common.Uptime()
+	if version == 0 {
+		found, newest, err := w.readAll(ctx, f.table)
+		if err != nil {
+			return 0, err
+		}
+		f.whole(found)
+		f.fresh(start)
+		return newest, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	page, err := w.store.Feed(ctx, f.table, version, feedWait)
+	if err != nil {
+		return 0, err
+	}
+	f.rows(page.Rows)
+	f.fresh(start)
+	return max(version, page.Version), nil
+}
+
+func (w *Watcher) readAll(ctx context.Context, table string) ([]rows.Row, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	var all []rows.Row
+	var version int64
+	from := ""
+	for {
+		page, err := w.store.Range(ctx, rows.Query{Table: table, From: from, Limit: pageRows})
+		if err != nil {
+			return nil, 0, err
+		}
+		all = append(all, page.Rows...)
+		if version == 0 {
+			// Later pages are newer; the feed begins at the oldest of them.
+			version = page.Version
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return all, version, nil
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+// newer notes the row's version and tells whether it is news.
+func (w *Watcher) newer(r rows.Row) bool {
+	if r.Version <= w.versions[r.ID] {
+		return false
+	}
+	w.versions[r.ID] = r.Version
+	return true
+}
+
+// publish makes a new view of what is known. The caller holds the lock.
+func (w *Watcher) publish(configChanged bool) {
+	upstreams := make([]*site.Upstream, 0, len(w.upstreams))
+	for _, u := range w.upstreams {
+		upstreams = append(upstreams, u)
+	}
+	out := make(map[string]bool, len(w.out))
+	for domain := range w.out {
+		out[domain] = true
+	}
+	var v *site.View
+	if configChanged {
+		v = site.NewView(w.config, upstreams, out)
+	} else {
+		v = w.view.Load().WithUpstreams(upstreams, out)
+	}
+	w.view.Store(v)
+	w.changed(v)
+}
