--- a/front/front.go
+++ b/front/front.go
@@ -95,7 +95,7 @@
 	f.mates = mates.NewMates(log.Named("mates"), f.roster, f.conns)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.store, platform.Decoder{}, func(*site.View) {})
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()), budgetMemory)
-	f.buckets = share.NewBuckets(f.rank)
+	f.buckets = share.NewBuckets(f.rank, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.mates)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.mates, turns.Config{
 		RowBytes:   settings.RowBytes,
--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -169,13 +170,25 @@
 		return nil
 	}
 	q := share.Quota{Name: "team/" + x.team.Name, Rate: x.team.Rate, Burst: max(1, x.team.Burst)}
-	if !x.gate.Quotas.Admit(x.r.Context(), q) {
-		return &refusal{status: http.StatusTooManyRequests, reason: "the team's quota is used up", retryAfter: quotaRetry(q)}
+	opens := x.opensProgram()
+	patience := quotaPatience
+	if opens {
+		patience = openingPatience
+	}
+	if !x.gate.Quotas.Admit(x.r.Context(), q, opens, patience) {
+		reason := fmt.Sprintf("the team's quota of %g a second and a burst of %g is used up", q.Rate, q.Burst)
+		return &refusal{status: http.StatusTooManyRequests, reason: reason, retryAfter: quotaRetry(q)}
 	}
 	x.quota = &q
 	return nil
 }
 
+// opensProgram tells whether the request looks like the first of a program.
+func (x *exchange) opensProgram() bool {
+	return x.call.Program != "" && x.service.Model != nil && x.call.PreviousTurn == "" &&
+		x.gate.Picker.Home(x.call.Program, common.Uptime()) == ""
+}
+
 func (x *exchange) returnQuota() {
 	if x.quota != nil {
 		x.gate.Quotas.Return(*x.quota)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -25,7 +25,7 @@
 
 	// Quotas admit requests.
 	Quotas interface {
-		Admit(ctx context.Context, q share.Quota) bool
+		Admit(ctx context.Context, q share.Quota, opens bool, patience time.Duration) bool
 		AdmitOwn(q share.Quota) bool
 		Return(q share.Quota)
 	}
@@ -47,6 +47,8 @@
 		Pick(view *site.View, need pick.Need) *site.Upstream
 		Done(upstream string, outcome pick.Outcome, now time.Duration)
 		Report(upstream string, load pick.Load, now time.Duration)
+		// Home returns where the program last ran, or an empty text.
+		Home(program string, now time.Duration) string
 	}
 
 	// Config has what a gate is set to.
--- a/gate/refusal.go
+++ b/gate/refusal.go
@@ -23,6 +23,12 @@
 	// fullRetry is when a caller should come back that no upstream had room
 	// for: about the time of one request of a plain service.
 	fullRetry = 100 * time.Millisecond
+	// quotaPatience is how long a request of a program under way waits for its
+	// team's quota; programs have some times that to spare.
+	quotaPatience = 300 * time.Millisecond
+	// openingPatience is the same for a program's first request, which loses
+	// little by coming again.
+	openingPatience = 45 * time.Millisecond
 	// maxQuotaRetry bounds the time that a caller beyond its quota is sent away
 	// for; longer ones would be ignored.
 	maxQuotaRetry = time.Second
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -28,6 +28,8 @@
 	moveWait = 80 * time.Millisecond
 	// rest is how long an instance that didn't answer is left out.
 	rest = 500 * time.Millisecond
+	// fewLenders is how many holders of a quota are asked beside one a token.
+	fewLenders = 2
 	// copies is how many other instances hold a turn that the store didn't take.
 	copies = 2
 
@@ -69,9 +71,10 @@
 	return reply.Freed, nil
 }
 
-// Lend asks the holders of a quota for tokens, all at once, and returns the
-// sum of what they gave.
-func (m *Mates) Lend(ctx context.Context, q share.Quota, want float64) float64 {
+// Lend asks holders of a quota for tokens, all at once, and returns the sum of
+// what they gave. It asks a few of them at random for a few tokens, and all of
+// them where that was not enough before.
+func (m *Mates) Lend(ctx context.Context, q share.Quota, want float64, all bool) float64 {
 	ranked := m.roster.Ranked(q.Name)
 	ranked = ranked[:min(len(ranked), q.Holders(len(ranked)))]
 	lenders := make([]roster.Entry, 0, len(ranked))
@@ -83,7 +86,11 @@
 	if len(lenders) == 0 {
 		return 0
 	}
-	each := max(1, want/float64(len(lenders)))
+	if asked := fewLenders + int(want); !all && asked < len(lenders) {
+		rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
+		lenders = lenders[:asked]
+	}
+	each := want / float64(len(lenders))
 	var mu sync.Mutex
 	sum := 0.0
 	var wg sync.WaitGroup
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -14,13 +14,17 @@
 	borrowWait = 40 * time.Millisecond
 	// holdOff is the time after a round without any token until the next.
 	holdOff = 60 * time.Millisecond
+	// pollPause is the time between two looks at the bucket while others have
+	// nothing to lend.
+	pollPause = 15 * time.Millisecond
 )
 
 type (
 	// Lenders are the other instances.
 	Lenders interface {
-		// Lend asks the holders of the quota for tokens. It returns the sum.
-		Lend(ctx context.Context, q Quota, want float64) float64
+		// Lend asks some or all holders of the quota for tokens. It returns the
+		// sum.
+		Lend(ctx context.Context, q Quota, want float64, all bool) float64
 	}
 
 	// Limiter admits requests by the buckets and borrows when they run low. It
@@ -30,11 +34,20 @@
 		lenders Lenders
 		group   *group.Group
 		mu      sync.Mutex
-		rounds  map[string]*round
+		queues  map[string]*queue
 	}
 
 	// round is one borrowing under way, which all requests of the quota share.
 	round struct{ done chan struct{} }
+
+	// queue is the state of one quota's borrowing.
+	queue struct {
+		round *round
+		// waiting requests have found no token yet.
+		waiting int
+		// short says that the last round brought less than was wanted.
+		short bool
+	}
 )
 
 // NewLimiter returns a limiter over the buckets; Close must be called.
@@ -43,59 +56,94 @@
 		buckets: buckets,
 		lenders: lenders,
 		group:   group.NewGroup(context.Background()),
-		rounds:  make(map[string]*round),
+		queues:  make(map[string]*queue),
 	}
 }
 
 // Close ends borrowing and waits for it.
 func (l *Limiter) Close() { l.group.Close() }
 
-// Admit reports whether the quota admits one more request. It may wait for one
-// round of borrowing.
-func (l *Limiter) Admit(ctx context.Context, q Quota) bool {
-	now := common.Uptime()
-	if l.buckets.Take(q, now) {
-		if want := l.buckets.Want(q, now, false); want > 0 {
-			l.borrow(q, want)
+// Admit reports whether the quota admits one more request. It waits up to the
+// patience for tokens, its own share's and borrowed ones. A request that opens
+// a program leaves part of the share to programs under way, whose earlier work
+// is lost if they are refused.
+func (l *Limiter) Admit(ctx context.Context, q Quota, opens bool, patience time.Duration) bool {
+	until := common.Uptime() + patience
+	for {
+		now := common.Uptime()
+		if l.buckets.Take(q, opens, now) {
+			l.borrow(q, 0, false)
+			return true
 		}
-		return true
+		if now >= until || ctx.Err() != nil {
+			return false
+		}
+		l.await(ctx, q, opens, min(pollPause, until-now))
 	}
-	want := l.buckets.Want(q, now, true)
-	if want == 0 {
-		return false
+}
+
+// await waits for a round of borrowing, or for the time where borrowing is of
+// no use now.
+func (l *Limiter) await(ctx context.Context, q Quota, opens bool, pause time.Duration) {
+	r := l.borrow(q, 1, opens)
+	if r == nil {
+		group.Sleep(ctx, pause)
+		return
 	}
+	defer l.leave(q)
 	select {
-	case <-l.borrow(q, want).done:
+	case <-r.done:
 	case <-ctx.Done():
-		return false
 	}
-	return l.buckets.Take(q, common.Uptime())
 }
 
 // AdmitOwn is Admit without borrowing.
-func (l *Limiter) AdmitOwn(q Quota) bool { return l.buckets.Take(q, common.Uptime()) }
+func (l *Limiter) AdmitOwn(q Quota) bool { return l.buckets.Take(q, false, common.Uptime()) }
 
 // Return gives back the token of a request that didn't run.
 func (l *Limiter) Return(q Quota) { l.buckets.Return(q, common.Uptime()) }
 
-// borrow joins the quota's round or starts one.
-func (l *Limiter) borrow(q Quota, want float64) *round {
+// borrow joins the quota's round or starts one, for the number of waiting
+// requests, the last of which may open a program. It returns nil where
+// borrowing is of no use now.
+func (l *Limiter) borrow(q Quota, waiting int, opens bool) *round {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r, ok := l.rounds[q.Name]; ok {
-		return r
+	w, ok := l.queues[q.Name]
+	if !ok {
+		w = &queue{}
+		l.queues[q.Name] = w
+	}
+	if w.round == nil {
+		want := l.buckets.Want(q, common.Uptime(), w.waiting+waiting, opens)
+		if want == 0 {
+			return nil
+		}
+		w.round = &round{done: make(chan struct{})}
+		l.start(q, w.round, want, w.short)
 	}
-	r := &round{done: make(chan struct{})}
-	l.rounds[q.Name] = r
+	w.waiting += waiting
+	return w.round
+}
+
+func (l *Limiter) leave(q Quota) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queues[q.Name].waiting--
+}
+
+func (l *Limiter) start(q Quota, r *round, want float64, all bool) {
 	l.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, borrowWait)
 		defer cancel()
-		tokens := l.lenders.Lend(ctx, q, want)
-		l.buckets.Borrowed(q, tokens, common.Uptime(), holdOff)
+		tokens := l.lenders.Lend(ctx, q, want, all)
+		if tokens > 0 || all {
+			l.buckets.Borrowed(q, tokens, common.Uptime(), holdOff)
+		}
 		l.mu.Lock()
-		delete(l.rounds, q.Name)
+		l.queues[q.Name].round = nil
+		l.queues[q.Name].short = tokens < want
 		l.mu.Unlock()
 		close(r.done)
 	})
-	return r
 }
--- a/share/share.go
+++ b/share/share.go
@@ -26,11 +26,17 @@
 	keepTime = 150 * time.Millisecond
 	// wantTime is how much of its usage a borrower asks for.
 	wantTime = 200 * time.Millisecond
-	// borrowedTTL is how long borrowed tokens can be used. With the bucket's
-	// burst it bounds how far usage can exceed the rate in a window.
-	borrowedTTL = 500 * time.Millisecond
+	// borrowedTTL is how long borrowed tokens stand beside the bucket's own;
+	// then they only fill what room its burst leaves. It bounds how far all
+	// instances together can exceed the burst.
+	borrowedTTL = time.Second
 	// idleBuckets is how long an unused bucket is kept.
 	idleBuckets = time.Minute
+	// openingReserve is the share of the burst that is left to programs under
+	// way when a new one opens.
+	openingReserve = 0.4
+	// leastLoan is the smallest part of a token that is worth a loan.
+	leastLoan = 0.02
 )
 
 type (
@@ -50,6 +56,7 @@
 		// Rank returns the instance's place among the name's holders and the
 		// number of instances.
 		rank    func(name string) (place, members int)
+		started time.Duration
 		mu      sync.Mutex
 		buckets map[string]*bucket
 		sweepAt time.Duration
@@ -73,9 +80,10 @@
 )
 
 // NewBuckets returns an instance's buckets. Rank tells the instance's place in
-// the order in which a name falls to instances, and how many there are.
-func NewBuckets(rank func(name string) (place, members int)) *Buckets {
-	return &Buckets{rank: rank, buckets: make(map[string]*bucket)}
+// the order in which a name falls to instances, and how many there are. Buckets
+// fill from the start of the instance.
+func NewBuckets(rank func(name string) (place, members int), started time.Duration) *Buckets {
+	return &Buckets{rank: rank, started: started, buckets: make(map[string]*bucket)}
 }
 
 // Holders returns how many instances the quota is divided among.
@@ -83,13 +91,20 @@
 	return max(1, min(members, maxHolders, int(q.Burst/holderTokens)))
 }
 
-// Take admits one request. It reports whether the bucket held a token.
-func (b *Buckets) Take(q Quota, now time.Duration) bool {
+// Take admits one request. It reports whether the bucket held a token, and for
+// a request that opens a program, whether enough are left for the others.
+func (b *Buckets) Take(q Quota, opens bool, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
+	if opens && k.tokens+k.borrowed < 1+openingReserve*k.burst {
+		return false
+	}
+	if !k.take() {
+		return false
+	}
 	k.note(now)
-	return k.take()
+	return true
 }
 
 // Return gives back the token of a request that didn't run.
@@ -100,19 +115,24 @@
 	k.tokens++
 }
 
-// Want tells how many tokens the instance should borrow for the quota now; 0
-// means that it has enough, is borrowing, or found the others dry just now.
-// The caller must end the borrowing with Borrowed.
-func (b *Buckets) Want(q Quota, now time.Duration, urgent bool) float64 {
+// Want tells how many tokens the instance should borrow for the quota now,
+// with the number of requests that wait for one, the last of which may open a
+// program; 0 means that it has enough or found the others dry just now.
+func (b *Buckets) Want(q Quota, now time.Duration, waiting int, opens bool) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	ahead := k.usage * wantTime.Seconds()
-	if k.dryUntil > now || (!urgent && (k.borrowing || k.tokens+k.borrowed > ahead)) {
+	if k.dryUntil > now {
+		return 0
+	}
+	need := float64(waiting) + k.usage*wantTime.Seconds() - k.tokens - k.borrowed
+	if opens {
+		need += openingReserve * k.burst
+	}
+	if need <= 0 {
 		return 0
 	}
-	k.borrowing = true
-	return max(1, ahead)
+	return max(1, need)
 }
 
 // Borrowed adds what the others gave. Nothing at all holds off the next try
@@ -121,7 +141,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	k.borrowing = false
 	if tokens <= 0 {
 		k.dryUntil = now + holdOff
 		return
@@ -137,7 +156,7 @@
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
 	spare := min(want, k.tokens-k.usage*keepTime.Seconds())
-	if spare < 1 {
+	if spare < leastLoan {
 		return 0
 	}
 	k.tokens -= spare
@@ -156,7 +175,7 @@
 	k, ok := b.buckets[q.Name]
 	if !ok {
 		b.sweep(now)
-		k = &bucket{filledAt: now, usageAt: now}
+		k = &bucket{filledAt: b.started, usageAt: now}
 		b.buckets[q.Name] = k
 		b.divide(k, q)
 		k.tokens = startFill * k.burst
@@ -196,6 +215,7 @@
 	}
 	k.tokens = min(k.tokens, k.burst)
 	if now >= k.lapseAt {
+		k.tokens = min(k.burst, k.tokens+k.borrowed)
 		k.borrowed = 0
 	}
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -30,7 +30,10 @@
 	longestRetry = 250 * time.Millisecond
 	// upstreamPause is the least time between two calls for a table in which
 	// every upstream writes its heartbeats; changes in between come together.
-	upstreamPause = 200 * time.Millisecond
+	upstreamPause = 400 * time.Millisecond
+	// ownWait is how long the store holds an empty answer about a table that
+	// seldom changes.
+	ownWait = 5 * time.Second
 	// reappearGrace is how long an upstream's entry may be missing after the
 	// store was away; live ones have written it again by then.
 	reappearGrace = 2200 * time.Millisecond
@@ -77,6 +80,7 @@
 	feed struct {
 		table string
 		pause time.Duration
+		wait  time.Duration
 		// whole applies a complete read of the table, rows one change.
 		whole func(found []rows.Row)
 		rows  func(found []rows.Row)
@@ -110,6 +114,7 @@
 	operator, upstreams := w.decoder.Tables()
 	w.follow(feed{
 		table:  operator,
+		wait:   feedWait,
 		whole:  w.wholeOperator,
 		rows:   w.operatorRows,
 		fresh:  func(at time.Duration) { w.freshen(at) },
@@ -118,6 +123,7 @@
 	w.follow(feed{
 		table:  upstreams,
 		pause:  upstreamPause,
+		wait:   feedWait,
 		whole:  w.wholeUpstreams,
 		rows:   w.upstreamRows,
 		fresh:  func(time.Duration) {},
@@ -128,7 +134,15 @@
 
 // Follow follows a table of the project's own until Close.
 func (w *Watcher) Follow(table string, whole, changes func(found []rows.Row)) {
-	w.follow(feed{table: table, pause: upstreamPause, whole: whole, rows: changes, fresh: func(time.Duration) {}, failed: func() {}})
+	w.follow(feed{
+		table:  table,
+		pause:  upstreamPause,
+		wait:   ownWait,
+		whole:  whole,
+		rows:   changes,
+		fresh:  func(time.Duration) {},
+		failed: func() {},
+	})
 }
 
 // Close stops following and waits for it.
@@ -160,7 +174,7 @@
 		lost := false
 		for ctx.Err() == nil {
 			next, err := w.step(ctx, f, version)
-			if err == nil {
+			if err == nil && next > 0 {
 				if lost {
 					w.log.Info("The feed of a table is back.", "table", f.table, "version", next)
 				}
@@ -168,6 +182,11 @@
 				group.Sleep(ctx, f.pause)
 				continue
 			}
+			if err == nil {
+				// Nothing was ever written to the store.
+				group.Sleep(ctx, longestRetry)
+				continue
+			}
 			if errors.Is(err, rows.ErrHistoryGone) {
 				w.log.Info("A table's history is gone, it is read anew.", "table", f.table, "after", version)
 				version = 0
@@ -196,9 +215,9 @@
 		f.fresh(start)
 		return newest, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+feedSlack)
 	defer cancel()
-	page, err := w.store.Feed(ctx, f.table, version, feedWait)
+	page, err := w.store.Feed(ctx, f.table, version, f.wait)
 	if err != nil {
 		return 0, err
 	}
