--- a/front/front.go
+++ b/front/front.go
@@ -16,6 +16,7 @@
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/detour"
 	"github.com/buckthorntide/buckthorntide/gate"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/mates"
@@ -26,7 +27,6 @@
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/rows"
 	"github.com/buckthorntide/buckthorntide/share"
-	"github.com/buckthorntide/buckthorntide/site"
 	"github.com/buckthorntide/buckthorntide/turns"
 	"github.com/buckthorntide/buckthorntide/watch"
 )
@@ -54,7 +54,8 @@
 	log       hclog.Logger
 	common    *common.Common
 	group     *group.Group
-	store     *platform.Store
+	direct    *platform.Store
+	store     *detour.Store
 	roster    *roster.Roster
 	conns     *peer.Conns
 	mates     *mates.Mates
@@ -81,7 +82,7 @@
 		log:       log,
 		common:    common.NewCommon(log, conf.DefaultSettings()),
 		group:     group.NewGroup(context.Background()),
-		store:     platform.NewStore(settings.StoreAddress, storeConnect),
+		direct:    platform.NewStore(settings.StoreAddress, storeConnect),
 		picker:    pick.NewPicker(),
 		transport: relay.NewTransport(),
 	}
@@ -93,7 +94,8 @@
 	})
 	f.conns = peer.NewConns(f.common.Metrics)
 	f.mates = mates.NewMates(log.Named("mates"), f.roster, f.conns)
-	f.watcher = watch.NewWatcher(log.Named("watch"), f.store, platform.Decoder{}, func(*site.View) {})
+	f.store = detour.NewStore(f.direct, f.mates)
+	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.mates, f.store.Works)
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()), budgetMemory)
 	f.buckets = share.NewBuckets(f.rank, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.mates)
@@ -142,7 +144,7 @@
 		return errors.Trace(err)
 	}
 	f.peers = peers
-	f.peers.Register(mates.Handlers(f.ledger, f.buckets, f.keeper)...)
+	f.peers.Register(mates.Handlers(f.ledger, f.buckets, f.keeper, f.watcher, f.direct)...)
 	f.callers = &http.Server{Handler: f.gate, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle}
 	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerWait}
 	f.metrics = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerWait}
@@ -192,9 +194,10 @@
 	if f.peers != nil {
 		f.peers.Close()
 	}
+	f.store.Close()
 	f.conns.Close()
 	f.transport.CloseIdleConnections()
-	f.store.Close()
+	f.direct.Close()
 }
 
 func (f *Front) wholeRoster(found []rows.Row) {
--- a/front/stop.go
+++ b/front/stop.go
@@ -29,12 +29,8 @@
 	defer cancel()
 	group.Sleep(ctx, balancerNotice)
 	err := f.callers.Shutdown(ctx)
-	for f.keeper.Unsaved() > 0 && group.Sleep(ctx, balancerNotice/50) {
-		continue
-	}
-	unsaved := f.keeper.Unsaved()
 	farewell, cancelFarewell := context.WithTimeout(context.Background(), farewellWait)
 	defer cancelFarewell()
 	_, removeErr := rows.Settle(farewell, f.store, f.roster.Removal(f.settings.Instance))
-	f.log.Info("The planned stop is through.", "error", err, "unsavedTurns", unsaved, "rosterError", removeErr)
+	f.log.Info("The planned stop is through.", "error", err, "rosterError", removeErr)
 }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -91,7 +91,8 @@
 	return mayHaveRun
 }
 
-// endStream makes the turn findable before its answer ends.
+// endStream makes the turn findable before its answer ends. An answer whose
+// turn can't be kept must not look complete, since the next turn would name it.
 func (x *exchange) endStream() verdict {
 	if !x.route.Conversation {
 		return done
@@ -104,7 +105,9 @@
 		Output:    x.output,
 		Retention: x.route.Retention,
 	}
-	if err := x.gate.Turns.Keep(context.WithoutCancel(x.r.Context()), t); err != nil {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(x.r.Context()), x.expires)
+	defer cancel()
+	if err := x.gate.Turns.Keep(ctx, t); err != nil {
 		x.record.kept = err.Error()
 		x.record.reason = "the turn could not be kept"
 		x.abort()
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -14,24 +14,31 @@
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/detour"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/roster"
+	"github.com/buckthorntide/buckthorntide/rows"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/turns"
+	"github.com/buckthorntide/buckthorntide/watch"
 )
 
 const (
 	// callWait bounds a call that a request waits for; a round trip between
 	// failure domains takes about 3 ms.
 	callWait = 40 * time.Millisecond
-	// moveWait bounds a call that carries turns.
+	// moveWait bounds a call that carries turns or configurations.
 	moveWait = 80 * time.Millisecond
 	// rest is how long an instance that didn't answer is left out.
 	rest = 500 * time.Millisecond
 	// fewLenders is how many holders of a quota are asked beside one a token.
 	fewLenders = 2
-	// copies is how many other instances hold a turn that the store didn't take.
-	copies = 2
+	// newsSources is how many other instances are asked for news at a time.
+	newsSources = 2
+	// detours is how many other instances are asked to reach the store.
+	detours = 3
+	// detourWait bounds such a call; it covers the store's own time.
+	detourWait = 400 * time.Millisecond
 
 	// errResting says that the instance didn't answer just now.
 	errResting = errors.ConstError("instance did not answer just now")
@@ -109,19 +116,36 @@
 	return sum
 }
 
-// Hold hands a turn to instances of other failure domains and returns how many
-// hold it.
-func (m *Mates) Hold(ctx context.Context, t *turns.Turn) int {
-	held := 0
-	for _, e := range m.spread() {
-		if _, err := call(ctx, m, turns.Hold, e, &turns.HoldRequest{Turn: *t}, moveWait); err == nil {
-			held++
+// CommitThrough commits a transaction through another instance.
+func (m *Mates) CommitThrough(ctx context.Context, txn rows.Txn) (int64, error) {
+	page, err := through(ctx, m, detour.Commit, &detour.CommitRequest{Txn: txn})
+	return page.Version, err
+}
+
+// RangeThrough reads rows through another instance.
+func (m *Mates) RangeThrough(ctx context.Context, q rows.Query) (rows.Page, error) {
+	return through(ctx, m, detour.Range, &detour.RangeRequest{Query: q})
+}
+
+// through asks a few other instances, one after the other, until the store
+// answers one of them.
+func through[Q any](ctx context.Context, m *Mates, method peer.Method[Q, detour.Reply], q *Q) (rows.Page, error) {
+	result := rows.ErrNotDone
+	for _, e := range m.Any(detours) {
+		reply, err := call(ctx, m, method, e, q, detourWait)
+		if err != nil {
+			result = rows.ErrUnknown
+			continue
 		}
-		if held == copies {
-			break
+		page, err := reply.Result()
+		if err == nil || errors.Is(err, rows.ErrConflict) {
+			return page, err
+		}
+		if errors.Is(err, rows.ErrUnknown) {
+			result = rows.ErrUnknown
 		}
 	}
-	return held
+	return rows.Page{}, result
 }
 
 // Find asks all instances for turns.
@@ -147,6 +171,22 @@
 	return found, all
 }
 
+// News asks two other instances what they know and returns the fresher answer.
+func (m *Mates) News(ctx context.Context, known watch.Positions) (watch.News, bool) {
+	var best watch.News
+	found := false
+	for _, e := range m.Any(newsSources) {
+		reply, err := call(ctx, m, News, e, &NewsRequest{Known: known}, moveWait)
+		if err != nil {
+			continue
+		}
+		if reply.News.Known && (!found || reply.News.Age < best.Age) {
+			best, found = reply.News, true
+		}
+	}
+	return best, found
+}
+
 // Any returns up to n other instances at random that answered last time.
 func (m *Mates) Any(n int) []roster.Entry {
 	var found []roster.Entry
@@ -163,20 +203,6 @@
 	return found
 }
 
-// spread returns the other instances in a random order, those of other failure
-// domains first.
-func (m *Mates) spread() []roster.Entry {
-	var far, near []roster.Entry
-	for _, e := range m.Any(m.roster.Len()) {
-		if e.FailureDomain == m.roster.Self().FailureDomain {
-			near = append(near, e)
-		} else {
-			far = append(far, e)
-		}
-	}
-	return append(far, near...)
-}
-
 // call makes one call and notes whether the instance answers.
 func call[Q, R any](ctx context.Context, m *Mates, method peer.Method[Q, R], e roster.Entry, q *Q, wait time.Duration) (*R, error) {
 	if m.roster.Resting(e.Name, common.Uptime(), rest) {
--- a/mates/serve.go
+++ b/mates/serve.go
@@ -5,13 +5,17 @@
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/detour"
 	"github.com/buckthorntide/buckthorntide/peer"
+	"github.com/buckthorntide/buckthorntide/rows"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/turns"
+	"github.com/buckthorntide/buckthorntide/watch"
 )
 
-// Handlers answer the calls of the other instances.
-func Handlers(ledger *budget.Ledger, buckets *share.Buckets, keeper *turns.Keeper) []peer.Handler {
+// Handlers answer the calls of the other instances. The store is the direct
+// one, so that a call takes one detour at most.
+func Handlers(ledger *budget.Ledger, buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store) []peer.Handler {
 	return []peer.Handler{
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
 			return &budget.ReleaseReply{Holder: ledger.Holder(), Freed: ledger.Release(q.Program)}, nil
@@ -22,9 +26,15 @@
 		turns.Find.Handle(func(_ context.Context, q *turns.FindRequest) (*turns.FindReply, error) {
 			return &turns.FindReply{Turns: keeper.Held(q.IDs)}, nil
 		}),
-		turns.Hold.Handle(func(_ context.Context, q *turns.HoldRequest) (*turns.HoldReply, error) {
-			keeper.Hold(&q.Turn)
-			return &turns.HoldReply{}, nil
+		News.Handle(func(_ context.Context, q *NewsRequest) (*NewsReply, error) {
+			return &NewsReply{News: watcher.Tell(q.Known)}, nil
+		}),
+		detour.Commit.Handle(func(ctx context.Context, q *detour.CommitRequest) (*detour.Reply, error) {
+			version, err := store.Commit(ctx, q.Txn)
+			return detour.NewReply(rows.Page{Version: version}, err), nil
+		}),
+		detour.Range.Handle(func(ctx context.Context, q *detour.RangeRequest) (*detour.Reply, error) {
+			return detour.NewReply(store.Range(ctx, q.Query)), nil
 		}),
 	}
 }
--- a/rows/settle.go
+++ b/rows/settle.go
@@ -32,8 +32,8 @@
 		}
 		var conflict *ConflictError
 		if errors.As(err, &conflict) {
-			if doubtful && conflict.holds(txn) {
-				return conflict.newest(), nil
+			if doubtful && conflict.Holds(txn) {
+				return conflict.Newest(), nil
 			}
 			return 0, err
 		}
@@ -52,9 +52,9 @@
 	return err
 }
 
-// holds tells whether every write of the transaction that carries a condition
+// Holds tells whether every write of the transaction that carries a condition
 // is what the store holds now.
-func (e *ConflictError) holds(txn Txn) bool {
+func (e *ConflictError) Holds(txn Txn) bool {
 	conditioned := make(map[ID]bool, len(txn.Expect))
 	for _, x := range txn.Expect {
 		conditioned[x.ID] = true
@@ -72,7 +72,8 @@
 	return true
 }
 
-func (e *ConflictError) newest() int64 {
+// Newest returns the highest version of the rows.
+func (e *ConflictError) Newest() int64 {
 	var version int64
 	for _, r := range e.Rows {
 		version = max(version, r.Version)
--- a/turns/message.go
+++ b/turns/message.go
@@ -12,18 +12,7 @@
 	FindReply struct {
 		Turns []Turn `json:"turns"`
 	}
-
-	// HoldRequest asks an instance to hold a turn until it is in the store.
-	HoldRequest struct {
-		Turn Turn `json:"turn"`
-	}
-
-	// HoldReply says that the turn is held.
-	HoldReply struct{}
 )
 
-// Methods of the instances.
-var (
-	Find = peer.Method[FindRequest, FindReply]{Name: "TurnFind"}
-	Hold = peer.Method[HoldRequest, HoldReply]{Name: "TurnHold"}
-)
+// Find is the call for FindRequest.
+var Find = peer.Method[FindRequest, FindReply]{Name: "TurnFind"}
--- a/turns/turn.go
+++ b/turns/turn.go
@@ -1,7 +1,5 @@
 // Package turns keeps the turns of conversations, so that any instance can
-// continue from any of them. A turn is in the store before its answer ends;
-// while the store is away, instances in other failure domains keep it until it
-// can be written.
+// continue from any of them. A turn is in the store before its answer ends.
 package turns
 
 import (
--- /dev/null
+++ b/watch/news.go
@@ -0,0 +1,81 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+const (
+	// askAge is how old the knowledge of the operator's table may become before
+	// other instances are asked; a feed that works is never older.
+	askAge = feedWait + 300*time.Millisecond
+	// askInterval is the time between two such questions.
+	askInterval = 200 * time.Millisecond
+)
+
+// askMates asks other instances for news while the own way to the store is
+// gone.
+func (w *Watcher) askMates(ctx context.Context) {
+	helped := false
+	for group.Sleep(ctx, askInterval) {
+		start := common.Uptime()
+		age, known := w.Age(start)
+		if known && age < askAge {
+			helped = false
+			continue
+		}
+		news, ok := w.relay.News(ctx, w.position())
+		if !ok || !news.Known {
+			continue
+		}
+		if !helped {
+			w.log.Info("Another instance tells what the store holds.", "ageMs", news.Age.Milliseconds(), "rows", len(news.Rows))
+		}
+		helped = true
+		w.apply(news.Rows)
+		w.freshen(start - news.Age)
+	}
+}
+
+// Tell returns what this instance knows beyond the positions.
+func (w *Watcher) Tell(known Positions) News {
+	age, ok := w.Age(common.Uptime())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	news := News{Age: age, Known: ok}
+	operator, _ := w.decoder.Tables()
+	for id, r := range w.known {
+		since := known.Upstreams
+		if id.Table == operator {
+			since = known.Operator
+		}
+		if r.Version > since {
+			news.Rows = append(news.Rows, r)
+		}
+	}
+	return news
+}
+
+func (w *Watcher) position() Positions {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.positions
+}
+
+func (w *Watcher) apply(found []rows.Row) {
+	operator, _ := w.decoder.Tables()
+	var orders, entries []rows.Row
+	for _, r := range found {
+		if r.Table == operator {
+			orders = append(orders, r)
+		} else {
+			entries = append(entries, r)
+		}
+	}
+	w.operatorRows(orders)
+	w.upstreamRows(entries)
+}
--- a/watch/operator.go
+++ b/watch/operator.go
@@ -1,9 +1,19 @@
 package watch
 
 import (
+	"time"
+
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
+func (w *Watcher) operatorFresh(at time.Duration, version int64) {
+	w.freshen(at)
+	w.works()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.positions.Operator = version
+}
+
 // wholeOperator applies a complete read of the operator's table. A failure
 // domain whose row is missing is back in.
 func (w *Watcher) wholeOperator(found []rows.Row) {
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -13,6 +13,12 @@
 // missingInterval is the time between two looks at missing entries.
 const missingInterval = 100 * time.Millisecond
 
+func (w *Watcher) upstreamsFresh(_ time.Duration, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.positions.Upstreams = version
+}
+
 func (w *Watcher) upstreamsAway() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -54,11 +54,37 @@
 		Upstream(row rows.Row, now time.Duration) (*site.Upstream, error)
 	}
 
+	// Relay asks other instances for what they know.
+	Relay interface {
+		// News returns the rows that another instance knows beyond the positions,
+		// and how old its knowledge is; ok is false if none answered.
+		News(ctx context.Context, known Positions) (news News, ok bool)
+	}
+
+	// Positions are the versions up to which the tables are known.
+	Positions struct {
+		Operator  int64 `json:"operator"`
+		Upstreams int64 `json:"upstreams"`
+	}
+
+	// News are rows of the operator's and the upstreams' table, removed ones
+	// included.
+	News struct {
+		// Age is how old the knowledge of the operator's table is at most.
+		Age time.Duration `json:"age"`
+		// Known is false where the instance itself knows nothing yet.
+		Known bool       `json:"known"`
+		Rows  []rows.Row `json:"rows"`
+	}
+
 	// Watcher follows the store. View and the ages may be read at any time.
 	Watcher struct {
-		log       hclog.Logger
-		store     rows.Store
-		decoder   Decoder
+		log     hclog.Logger
+		store   rows.Store
+		decoder Decoder
+		relay   Relay
+		// works is called whenever the store was reached.
+		works     func()
 		group     *group.Group
 		view      atomic.Pointer[site.View]
 		freshAt   atomic.Int64
@@ -66,14 +92,14 @@
 		config    *site.Config
 		out       map[string]bool
 		upstreams map[string]*site.Upstream
-		// versions are those of the rows that were applied, removals included.
-		versions map[rows.ID]int64
+		// known are the rows that were applied, removals included.
+		known     map[rows.ID]rows.Row
+		positions Positions
 		// missing are entries that were removed while the store may have been
 		// away, by the time at which they count as gone.
 		missing map[string]time.Duration
 		// awayUntil is the end of the last disturbance of the upstreams' feed.
 		awayUntil time.Duration
-		changed   func(v *site.View)
 	}
 
 	// feed follows one table.
@@ -84,16 +110,17 @@
 		// whole applies a complete read of the table, rows one change.
 		whole func(found []rows.Row)
 		rows  func(found []rows.Row)
-		// fresh is called with the start of each call that succeeded.
-		fresh func(at time.Duration)
+		// fresh is called with the start of each call that succeeded, and the
+		// version up to which the table is known then.
+		fresh func(at time.Duration, version int64)
 		// failed is called with each failure.
 		failed func()
 	}
 )
 
-// NewWatcher returns a watcher; Start begins to follow. The function is called
-// after every change of the view, one call at a time.
-func NewWatcher(log hclog.Logger, store rows.Store, decoder Decoder, changed func(v *site.View)) *Watcher {
+// NewWatcher returns a watcher; Start begins to follow. The relay helps while
+// the store can't be reached; works is called whenever it was.
+func NewWatcher(log hclog.Logger, store rows.Store, decoder Decoder, relay Relay, works func()) *Watcher {
 	w := &Watcher{
 		log:       log,
 		store:     store,
@@ -101,9 +128,10 @@
 		group:     group.NewGroup(context.Background()),
 		out:       make(map[string]bool),
 		upstreams: make(map[string]*site.Upstream),
-		versions:  make(map[rows.ID]int64),
+		known:     make(map[rows.ID]rows.Row),
 		missing:   make(map[string]time.Duration),
-		changed:   changed,
+		relay:     relay,
+		works:     works,
 	}
 	w.view.Store(site.NewView(nil, nil, nil))
 	return w
@@ -117,7 +145,7 @@
 		wait:   feedWait,
 		whole:  w.wholeOperator,
 		rows:   w.operatorRows,
-		fresh:  func(at time.Duration) { w.freshen(at) },
+		fresh:  w.operatorFresh,
 		failed: func() {},
 	})
 	w.follow(feed{
@@ -126,10 +154,11 @@
 		wait:   feedWait,
 		whole:  w.wholeUpstreams,
 		rows:   w.upstreamRows,
-		fresh:  func(time.Duration) {},
+		fresh:  w.upstreamsFresh,
 		failed: w.upstreamsAway,
 	})
 	w.group.Go(w.expireMissing)
+	w.group.Go(w.askMates)
 }
 
 // Follow follows a table of the project's own until Close.
@@ -140,7 +169,7 @@
 		wait:   ownWait,
 		whole:  whole,
 		rows:   changes,
-		fresh:  func(time.Duration) {},
+		fresh:  func(time.Duration, int64) {},
 		failed: func() {},
 	})
 }
@@ -212,7 +241,7 @@
 			return 0, err
 		}
 		f.whole(found)
-		f.fresh(start)
+		f.fresh(start, newest)
 		return newest, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, f.wait+feedSlack)
@@ -222,8 +251,9 @@
 		return 0, err
 	}
 	f.rows(page.Rows)
-	f.fresh(start)
-	return max(version, page.Version), nil
+	version = max(version, page.Version)
+	f.fresh(start, version)
+	return version, nil
 }
 
 func (w *Watcher) readAll(ctx context.Context, table string) ([]rows.Row, int64, error) {
@@ -251,10 +281,10 @@
 
 // newer notes the row's version and tells whether it is news.
 func (w *Watcher) newer(r rows.Row) bool {
-	if r.Version <= w.versions[r.ID] {
+	if r.Version <= w.known[r.ID].Version {
 		return false
 	}
-	w.versions[r.ID] = r.Version
+	w.known[r.ID] = r
 	return true
 }
 
@@ -275,5 +305,4 @@
 		v = w.view.Load().WithUpstreams(upstreams, out)
 	}
 	w.view.Store(v)
-	w.changed(v)
 }
