--- a/gate/world_test.go
+++ b/gate/world_test.go
@@ -69,7 +69,9 @@
 func (w *world) View() *site.View                        { return w.view }
 func (w *world) Age(time.Duration) (time.Duration, bool) { return w.age, w.known }
 
-func (w *world) Lend(context.Context, share.Quota, float64, bool) float64 { return 0 }
+func (w *world) Lend(context.Context, share.Quota, float64, bool) (tokens float64, tight time.Duration) {
+	return 0, 0
+}
 
 func (w *world) Release(context.Context, string, string) (int, error) { return 0, io.EOF }
 
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -81,7 +81,7 @@
 // Lend asks holders of a quota for tokens, all at once, and returns the sum of
 // what they gave. It asks a few of them at random for a few tokens, and all of
 // them where that was not enough before.
-func (m *Mates) Lend(ctx context.Context, q share.Quota, want float64, all bool) float64 {
+func (m *Mates) Lend(ctx context.Context, q share.Quota, want float64, all bool) (tokens float64, tight time.Duration) {
 	ranked := m.roster.Ranked(q.Name)
 	ranked = ranked[:min(len(ranked), q.Holders(len(ranked)))]
 	lenders := make([]roster.Entry, 0, len(ranked))
@@ -91,7 +91,7 @@
 		}
 	}
 	if len(lenders) == 0 {
-		return 0
+		return 0, 0
 	}
 	if asked := fewLenders + int(want); !all && asked < len(lenders) {
 		rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
@@ -99,7 +99,6 @@
 	}
 	each := want / float64(len(lenders))
 	var mu sync.Mutex
-	sum := 0.0
 	var wg sync.WaitGroup
 	for _, e := range lenders {
 		wg.Go(func() {
@@ -109,11 +108,12 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			sum += reply.Tokens
+			tokens += reply.Tokens
+			tight = max(tight, reply.Tight)
 		})
 	}
 	wg.Wait()
-	return sum
+	return tokens, tight
 }
 
 // CommitThrough commits a transaction through another instance.
--- a/mates/serve.go
+++ b/mates/serve.go
@@ -21,7 +21,8 @@
 			return &budget.ReleaseReply{Holder: ledger.Holder(), Freed: ledger.Release(q.Program)}, nil
 		}),
 		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.LendReply, error) {
-			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, common.Uptime())}, nil
+			now := common.Uptime()
+			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, now), Tight: buckets.Tight(q.Quota, now)}, nil
 		}),
 		turns.Find.Handle(func(_ context.Context, q *turns.FindRequest) (*turns.FindReply, error) {
 			return &turns.FindReply{Turns: keeper.Held(q.IDs)}, nil
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -23,8 +23,8 @@
 	// Lenders are the other instances.
 	Lenders interface {
 		// Lend asks some or all holders of the quota for tokens. It returns the
-		// sum.
-		Lend(ctx context.Context, q Quota, want float64, all bool) float64
+		// sum, and how long no program opens at any of them.
+		Lend(ctx context.Context, q Quota, want float64, all bool) (tokens float64, tight time.Duration)
 	}
 
 	// Limiter admits requests by the buckets and borrows when they run low. It
@@ -69,6 +69,7 @@
 // is lost if they are refused.
 func (l *Limiter) Admit(ctx context.Context, q Quota, opens bool, patience time.Duration) bool {
 	until := common.Uptime() + patience
+	waited := false
 	for {
 		now := common.Uptime()
 		if l.buckets.Take(q, opens, now) {
@@ -78,6 +79,10 @@
 		if now >= until || ctx.Err() != nil {
 			return false
 		}
+		if !opens && waited {
+			l.buckets.Tighten(q, now, tightTime)
+		}
+		waited = true
 		l.await(ctx, q, opens, min(pollPause, until-now))
 	}
 }
@@ -136,7 +141,8 @@
 	l.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, borrowWait)
 		defer cancel()
-		tokens := l.lenders.Lend(ctx, q, want, all)
+		tokens, tight := l.lenders.Lend(ctx, q, want, all)
+		l.buckets.Tighten(q, common.Uptime(), tight)
 		if tokens > 0 || all {
 			l.buckets.Borrowed(q, tokens, common.Uptime(), holdOff)
 		}
--- a/share/message.go
+++ b/share/message.go
@@ -1,6 +1,10 @@
 package share
 
-import "github.com/buckthorntide/buckthorntide/peer"
+import (
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/peer"
+)
 
 type (
 	// LendRequest asks an instance for tokens of a quota.
@@ -12,6 +16,8 @@
 	// LendReply has the tokens that the asker may use now.
 	LendReply struct {
 		Tokens float64 `json:"tokens"`
+		// Tight is how long no program opens there.
+		Tight time.Duration `json:"tight"`
 	}
 )
 
--- a/share/share.go
+++ b/share/share.go
@@ -32,6 +32,9 @@
 	borrowedTTL = time.Second
 	// idleBuckets is how long an unused bucket is kept.
 	idleBuckets = time.Minute
+	// tightTime is how long no program opens after one under way had to wait for
+	// the quota: about the time between two requests of a program.
+	tightTime = 300 * time.Millisecond
 	// burstAtOnce is the part of a burst that can be used at one moment.
 	burstAtOnce = 0.4
 	// openingReserve is the share of the burst that is left to programs under
@@ -75,6 +78,8 @@
 		usageAt time.Duration
 		rate    float64
 		burst   float64
+		// tightUntil is when programs may open again.
+		tightUntil time.Duration
 		// dryUntil is when borrowing is worth another try.
 		dryUntil  time.Duration
 		borrowing bool
@@ -108,7 +113,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	if opens && k.tokens+k.borrowed < 1+openingReserve*k.burst {
+	if opens && (now < k.tightUntil || k.tokens+k.borrowed < 1+openingReserve*k.burst) {
 		return false
 	}
 	if !k.take() {
@@ -160,6 +165,22 @@
 	k.lapseAt = now + borrowedTTL
 }
 
+// Tighten keeps programs from opening for the time, since one under way waits
+// for the quota, here or at another instance.
+func (b *Buckets) Tighten(q Quota, now, tight time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucket(q, now)
+	k.tightUntil = max(k.tightUntil, now+tight)
+}
+
+// Tight returns how long no program opens here.
+func (b *Buckets) Tight(q Quota, now time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(0, b.bucket(q, now).tightUntil-now)
+}
+
 // Lend gives another instance up to the tokens that it wants and returns the
 // amount.
 func (b *Buckets) Lend(q Quota, want float64, now time.Duration) float64 {
