--- a/budget/budget.go
+++ b/budget/budget.go
@@ -37,6 +37,9 @@
 	// maxTries bounds the transactions for one turn; each fails only if another
 	// instance changed the row in the meantime.
 	maxTries = 6
+	// sliceTurns is how many turns at their most a slice holds. A larger one
+	// saves transactions, a smaller one loses less with its holder.
+	sliceTurns = 2
 	// idleAccounts is how many programs are remembered before old ones go.
 	idleAccounts = 2048
 )
@@ -185,7 +188,7 @@
 // extend takes a further slice of the program's budget from the store.
 func (l *Ledger) extend(ctx context.Context, a *account, program string, total, most int) error {
 	current := rows.Row{ID: rowID(program)}
-	asked := false
+	asked, lost := false, false
 	freed := make(map[string]int)
 	for range maxTries {
 		r, err := decode(current, total)
@@ -197,10 +200,15 @@
 			r.Slices[holder] -= n
 		}
 		free := r.Total - r.sum()
+		if lost {
+			// A holder that has ended most likely spent less than its slice. One
+			// turn beyond the budget is allowed for such doubt.
+			free += most
+		}
 		need := most - l.left(a)
 		if free < need && !asked && current.Version != 0 {
 			asked = true
-			l.reclaim(ctx, program, r, freed)
+			lost = l.reclaim(ctx, program, r, freed)
 			continue
 		}
 		if free < need {
@@ -208,7 +216,7 @@
 				"granted", r.sum(), "needed", need, "rowVersion", current.Version)
 			return ErrSpent
 		}
-		grant := max(need, free/2)
+		grant := max(need, min(free/2, sliceTurns*most))
 		conflict, err := l.write(ctx, current, r, grant)
 		if err != nil {
 			return err
@@ -247,8 +255,9 @@
 	}
 }
 
-// reclaim asks the other holders for what they don't need.
-func (l *Ledger) reclaim(ctx context.Context, program string, r record, freed map[string]int) {
+// reclaim asks the other holders for what they don't need, and tells whether
+// one of them wasn't reached.
+func (l *Ledger) reclaim(ctx context.Context, program string, r record, freed map[string]int) (lost bool) {
 	for holder, n := range r.Slices {
 		if holder == l.holder || n == 0 {
 			continue
@@ -257,10 +266,12 @@
 		if err != nil {
 			l.log.Info("A holder of a budget wasn't reached, its slice counts as spent.",
 				"program", program, "holder", holder, "slice", n, "error", err)
+			lost = true
 			continue
 		}
 		freed[holder] += min(got, n)
 	}
+	return lost
 }
 
 func (l *Ledger) left(a *account) int {
