Let programs go on while the store is away, by advances that homes and holders book

The program's home now advances a quarter of the budget and one turn to programs that are no spenders; home and holder both book it when the store is back.

--- a/budget/message.go
+++ b/budget/message.go
@@ -16,7 +16,43 @@
 		// Freed tokens are no longer the holder's to hand out.
 		Freed int `json:"freed"`
 	}
+
+	// AdvanceRequest asks a program's home for tokens while the store is away.
+	AdvanceRequest struct {
+		Holder  string `json:"holder"`
+		Program string `json:"program"`
+		Total   int    `json:"total"`
+		Most    int    `json:"most"`
+	}
+
+	// AdvanceReply has the tokens that the holder may hand out.
+	AdvanceReply struct {
+		Tokens int `json:"tokens"`
+	}
+
+	// SpenderRequest tells a program's home that much of the budget is taken.
+	SpenderRequest struct {
+		Program string `json:"program"`
+	}
+
+	// SpenderReply says that the home knows.
+	SpenderReply struct{}
+
+	// UnbookedRequest asks a program's home for its advances.
+	UnbookedRequest struct {
+		Program string `json:"program"`
+	}
+
+	// UnbookedReply has the advances by holder.
+	UnbookedReply struct {
+		Holders map[string]int `json:"holders"`
+	}
 )
 
-// Release is the call for ReleaseRequest.
-var Release = peer.Method[ReleaseRequest, ReleaseReply]{Name: "BudgetRelease"}
+// Methods of the instances.
+var (
+	Release  = peer.Method[ReleaseRequest, ReleaseReply]{Name: "BudgetRelease"}
+	Spender  = peer.Method[SpenderRequest, SpenderReply]{Name: "BudgetSpender"}
+	Unbooked = peer.Method[UnbookedRequest, UnbookedReply]{Name: "BudgetUnbooked"}
+	Advance  = peer.Method[AdvanceRequest, AdvanceReply]{Name: "BudgetAdvance"}
+)
--- a/front/front.go
+++ b/front/front.go
@@ -35,8 +35,9 @@
 	// storeConnect bounds a connection to the store.
 	storeConnect = 500 * time.Millisecond
 	// keyMargin is kept off the time within which a withdrawn key must stop
-	// working, for the way of a request.
-	keyMargin = 500 * time.Millisecond
+	// working. The age of keys is counted from before the store was asked, so it
+	// only covers the coarseness of timers.
+	keyMargin = 100 * time.Millisecond
 	// cacheShare is the part of the memory that turns may take.
 	cacheShare = 8
 	// budgetMemory is how long a program without turns is remembered.
@@ -98,8 +99,10 @@
 	f.conns = peer.NewConns(f.common.Metrics)
 	f.mates = mates.NewMates(log.Named("mates"), f.roster, f.conns)
 	f.store = detour.NewStore(f.direct, f.mates)
-	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.mates, f.store.Works)
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()), budgetMemory)
+	f.mates.Serve(f.ledger)
+	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.mates,
+		watch.Events{Works: f.store.Works, Lost: f.ledger.StoreLost})
 	f.buckets = share.NewBuckets(f.rank, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.mates)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.mates, turns.Config{
@@ -189,7 +192,8 @@
 func (f *Front) Start() {
 	f.peers.Start()
 	f.watcher.Start()
-	f.watcher.Follow(roster.Table, f.wholeRoster, f.rosterRows)
+	f.watcher.Follow(roster.Table, []string{""}, f.wholeRoster, f.rosterRows)
+	f.watcher.Follow(budget.SpenderTable, budget.Parts(), f.ledger.WholeSpenders, f.ledger.SpenderRows)
 	f.group.Go(f.register)
 	for i, server := range []*http.Server{f.callers, f.ready, f.metrics} {
 		f.group.Go(func(context.Context) { f.serve(server, f.listeners[i]) })
@@ -217,6 +221,7 @@
 	f.group.Close()
 	f.watcher.Close()
 	f.limiter.Close()
+	f.ledger.Close()
 	f.keeper.Close()
 	if f.peers != nil {
 		f.peers.Close()
--- a/mates/serve.go
+++ b/mates/serve.go
@@ -20,6 +20,17 @@
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
 			return &budget.ReleaseReply{Holder: ledger.Holder(), Freed: ledger.Release(q.Program)}, nil
 		}),
+		budget.Spender.Handle(func(_ context.Context, q *budget.SpenderRequest) (*budget.SpenderReply, error) {
+			ledger.NoteSpender(q.Program)
+			return &budget.SpenderReply{}, nil
+		}),
+		budget.Unbooked.Handle(func(_ context.Context, q *budget.UnbookedRequest) (*budget.UnbookedReply, error) {
+			holders, err := ledger.Unbooked(q.Program)
+			return &budget.UnbookedReply{Holders: holders}, err
+		}),
+		budget.Advance.Handle(func(_ context.Context, q *budget.AdvanceRequest) (*budget.AdvanceReply, error) {
+			return &budget.AdvanceReply{Tokens: ledger.Advance(q.Holder, q.Program, q.Total, q.Most, common.Uptime())}, nil
+		}),
 		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.LendReply, error) {
 			now := common.Uptime()
 			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, now), Tight: buckets.Tight(q.Quota, now)}, nil
--- a/rows/memory.go
+++ b/rows/memory.go
@@ -57,6 +57,9 @@
 	if m.fault != nil && !m.applied {
 		return 0, m.fault
 	}
+	if !valid(txn) {
+		return 0, ErrNotDone
+	}
 	if conflict := m.conflict(txn); conflict != nil {
 		return 0, conflict
 	}
@@ -127,6 +130,33 @@
 	return page, m.changed, nil
 }
 
+// valid tells whether a store on the platform would take the transaction: no
+// empty values or keys, and one part.
+func valid(txn Txn) bool {
+	part, seen := "", false
+	one := func(id ID) bool {
+		same := !seen || id.Part == part
+		part, seen = id.Part, true
+		return same && id.Table != "" && id.Key != ""
+	}
+	for _, x := range txn.Expect {
+		if !one(x.ID) {
+			return false
+		}
+	}
+	for _, w := range txn.Writes {
+		if !one(w.ID) || len(w.Value) == 0 {
+			return false
+		}
+	}
+	for _, id := range txn.Removes {
+		if !one(id) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Memory) conflict(txn Txn) error {
 	against := false
 	var current []Row
--- a/turns/keeper.go
+++ b/turns/keeper.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	// lookupWait bounds one read of a turn.
-	lookupWait = 400 * time.Millisecond
-	// lookupTries is how often a read that fails is tried.
-	lookupTries = 3
+	// quickWait bounds a read of a turn before the other instances are asked; it
+	// takes some 10 ms.
+	quickWait = 150 * time.Millisecond
+	// lookupWait bounds a read of a turn that no other instance has either.
+	lookupWait = 700 * time.Millisecond
 	// expireInterval is the time between two sweeps of the cache.
 	expireInterval = 5 * time.Second
 )
@@ -120,46 +121,52 @@
 	return chain, nil
 }
 
-// find looks in memory, then in the store, then at the other instances.
+// find looks in memory, then in the store, then at the other instances, and
+// once more in a store that is only slow.
 func (k *Keeper) find(ctx context.Context, id string) (*Turn, error) {
 	if t, ok := k.cache.get(id); ok {
 		return t, nil
 	}
-	t, err := k.read(ctx, id)
-	if err == nil {
-		k.cache.put(t, common.Uptime()+t.Retention)
-		return t, nil
+	t, err := k.read(ctx, id, quickWait)
+	if err != nil {
+		var all bool
+		t, all = k.ask(ctx, id)
+		if t == nil && errors.Is(err, ErrNoTurn) && all {
+			return nil, err
+		}
+		if t == nil && !errors.Is(err, ErrNoTurn) {
+			t, err = k.read(ctx, id, lookupWait)
+		}
 	}
+	if t == nil {
+		return nil, errors.WithType(err, ErrUncertain)
+	}
+	k.cache.put(t, common.Uptime()+t.Retention)
+	return t, nil
+}
+
+// ask looks for the turn in the memory of the other instances. The second
+// result tells whether all of them answered.
+func (k *Keeper) ask(ctx context.Context, id string) (*Turn, bool) {
 	found, all := k.mates.Find(ctx, []string{id})
 	for i := range found {
 		if found[i].ID == id {
-			k.cache.put(&found[i], common.Uptime()+found[i].Retention)
-			return &found[i], nil
+			return &found[i], true
 		}
 	}
-	if errors.Is(err, ErrNoTurn) && all {
-		return nil, err
-	}
-	return nil, errors.WithType(err, ErrUncertain)
+	return nil, all
 }
 
-func (k *Keeper) read(ctx context.Context, id string) (*Turn, error) {
-	var err error
-	for range lookupTries {
-		var page rows.Page
-		page, err = k.readOnce(ctx, id)
-		if err == nil {
-			return decode(id, page.Rows)
-		}
-		if ctx.Err() != nil {
-			break
-		}
+func (k *Keeper) read(ctx context.Context, id string, wait time.Duration) (*Turn, error) {
+	page, err := k.readOnce(ctx, id, wait)
+	if err != nil {
+		return nil, errors.WithType(err, ErrUncertain)
 	}
-	return nil, errors.WithType(err, ErrUncertain)
+	return decode(id, page.Rows)
 }
 
-func (k *Keeper) readOnce(ctx context.Context, id string) (rows.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, lookupWait)
+func (k *Keeper) readOnce(ctx context.Context, id string, wait time.Duration) (rows.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	return k.store.Range(ctx, query(id))
 }
--- a/watch/operator.go
+++ b/watch/operator.go
@@ -8,7 +8,7 @@
 
 func (w *Watcher) operatorFresh(at time.Duration, version int64) {
 	w.freshen(at)
-	w.works()
+	w.events.Works()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.positions.Operator = version
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -27,10 +27,13 @@
 	readWait = 1500 * time.Millisecond
 	// firstRetry and longestRetry bound the pause after a failed call.
 	firstRetry   = 40 * time.Millisecond
-	longestRetry = 250 * time.Millisecond
+	longestRetry = 200 * time.Millisecond
 	// upstreamPause is the least time between two calls for a table in which
 	// every upstream writes its heartbeats; changes in between come together.
 	upstreamPause = 400 * time.Millisecond
+	// ownPause is the least time between two calls for a table of the project's
+	// own.
+	ownPause = 700 * time.Millisecond
 	// ownWait is how long the store holds an empty answer about a table that
 	// seldom changes.
 	ownWait = 5 * time.Second
@@ -41,6 +44,9 @@
 	pageRows = 500
 )
 
+// mainPart is the only part of the platform's own tables.
+var mainPart = []string{""}
+
 type (
 	// Decoder reads the rows that the platform writes.
 	Decoder interface {
@@ -77,14 +83,19 @@
 		Rows  []rows.Row `json:"rows"`
 	}
 
+	// Events are called as the store is reached and lost.
+	Events struct {
+		Works func()
+		Lost  func()
+	}
+
 	// Watcher follows the store. View and the ages may be read at any time.
 	Watcher struct {
-		log     hclog.Logger
-		store   rows.Store
-		decoder Decoder
-		relay   Relay
-		// works is called whenever the store was reached.
-		works     func()
+		log       hclog.Logger
+		store     rows.Store
+		decoder   Decoder
+		relay     Relay
+		events    Events
 		group     *group.Group
 		view      atomic.Pointer[site.View]
 		freshAt   atomic.Int64
@@ -105,6 +116,7 @@
 	// feed follows one table.
 	feed struct {
 		table string
+		parts []string
 		pause time.Duration
 		wait  time.Duration
 		// whole applies a complete read of the table, rows one change.
@@ -119,8 +131,8 @@
 )
 
 // NewWatcher returns a watcher; Start begins to follow. The relay helps while
-// the store can't be reached; works is called whenever it was.
-func NewWatcher(log hclog.Logger, store rows.Store, decoder Decoder, relay Relay, works func()) *Watcher {
+// the store can't be reached.
+func NewWatcher(log hclog.Logger, store rows.Store, decoder Decoder, relay Relay, events Events) *Watcher {
 	w := &Watcher{
 		log:       log,
 		store:     store,
@@ -131,7 +143,7 @@
 		known:     make(map[rows.ID]rows.Row),
 		missing:   make(map[string]time.Duration),
 		relay:     relay,
-		works:     works,
+		events:    events,
 	}
 	w.view.Store(site.NewView(nil, nil, nil))
 	return w
@@ -142,14 +154,16 @@
 	operator, upstreams := w.decoder.Tables()
 	w.follow(feed{
 		table:  operator,
+		parts:  mainPart,
 		wait:   feedWait,
 		whole:  w.wholeOperator,
 		rows:   w.operatorRows,
 		fresh:  w.operatorFresh,
-		failed: func() {},
+		failed: w.events.Lost,
 	})
 	w.follow(feed{
 		table:  upstreams,
+		parts:  mainPart,
 		pause:  upstreamPause,
 		wait:   feedWait,
 		whole:  w.wholeUpstreams,
@@ -161,11 +175,13 @@
 	w.group.Go(w.askMates)
 }
 
-// Follow follows a table of the project's own until Close.
-func (w *Watcher) Follow(table string, whole, changes func(found []rows.Row)) {
+// Follow follows a table of the project's own until Close. The parts are those
+// that it has rows in.
+func (w *Watcher) Follow(table string, parts []string, whole, changes func(found []rows.Row)) {
 	w.follow(feed{
 		table:  table,
-		pause:  upstreamPause,
+		parts:  parts,
+		pause:  ownPause,
 		wait:   ownWait,
 		whole:  whole,
 		rows:   changes,
@@ -202,7 +218,7 @@
 		retry := firstRetry
 		lost := false
 		for ctx.Err() == nil {
-			next, err := w.step(ctx, f, version)
+			next, err := w.step(ctx, f, version, lost)
 			if err == nil && next > 0 {
 				if lost {
 					w.log.Info("The feed of a table is back.", "table", f.table, "version", next)
@@ -232,11 +248,13 @@
 	})
 }
 
-// step makes one call: the whole table for version 0, else what changed.
-func (w *Watcher) step(ctx context.Context, f feed, version int64) (int64, error) {
+// step makes one call: the whole table for version 0, else what changed. After
+// a loss the store is not asked to hold an empty answer, which alone tells that
+// nothing was missed.
+func (w *Watcher) step(ctx context.Context, f feed, version int64, lost bool) (int64, error) {
 	start := common.Uptime()
 	if version == 0 {
-		found, newest, err := w.readAll(ctx, f.table)
+		found, newest, err := w.readAll(ctx, f.table, f.parts)
 		if err != nil {
 			return 0, err
 		}
@@ -244,9 +262,13 @@
 		f.fresh(start, newest)
 		return newest, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.wait+feedSlack)
+	wait := f.wait
+	if lost {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	page, err := w.store.Feed(ctx, f.table, version, f.wait)
+	page, err := w.store.Feed(ctx, f.table, version, wait)
 	if err != nil {
 		return 0, err
 	}
@@ -256,27 +278,31 @@
 	return version, nil
 }
 
-func (w *Watcher) readAll(ctx context.Context, table string) ([]rows.Row, int64, error) {
+// readAll reads every part of a table and returns the version that the feed
+// goes on from: that of the first page, since later ones are newer.
+func (w *Watcher) readAll(ctx context.Context, table string, parts []string) ([]rows.Row, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readWait)
 	defer cancel()
 	var all []rows.Row
 	var version int64
-	from := ""
-	for {
-		page, err := w.store.Range(ctx, rows.Query{Table: table, From: from, Limit: pageRows})
-		if err != nil {
-			return nil, 0, err
-		}
-		all = append(all, page.Rows...)
-		if version == 0 {
-			// Later pages are newer; the feed begins at the oldest of them.
-			version = page.Version
-		}
-		if !page.More || len(page.Rows) == 0 {
-			return all, version, nil
+	for _, part := range parts {
+		query := rows.Query{Table: table, Part: part, Limit: pageRows}
+		for more := true; more; {
+			page, err := w.store.Range(ctx, query)
+			if err != nil {
+				return nil, 0, err
+			}
+			all = append(all, page.Rows...)
+			if version == 0 {
+				version = page.Version
+			}
+			more = page.More && len(page.Rows) > 0
+			if more {
+				query.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+			}
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
+	return all, version, nil
 }
 
 // newer notes the row's version and tells whether it is news.
--- /dev/null
+++ b/watch/watch_test.go
@@ -0,0 +1,197 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/rows"
+	"github.com/buckthorntide/buckthorntide/site"
+	"github.com/buckthorntide/buckthorntide/watch"
+)
+
+var errBad = errors.New("bad entry")
+
+type (
+	// decoder reads rows whose values are the JSON of the decoded types.
+	decoder struct{}
+
+	// mate is another instance that tells news.
+	mate struct {
+		mu   sync.Mutex
+		news watch.News
+		ok   bool
+	}
+
+	deployment struct {
+		t       *testing.T
+		store   *rows.Memory
+		mate    *mate
+		watcher *watch.Watcher
+	}
+)
+
+func (decoder) Tables() (operator, upstreams string) { return "orders", "upstreams" }
+
+func (decoder) Config(row rows.Row) (*site.Config, bool, error) {
+	if row.Key != "config" {
+		return nil, false, nil
+	}
+	config := new(site.Config)
+	return config, true, json.Unmarshal(row.Value, config)
+}
+
+func (decoder) DomainOut(id rows.ID) (string, bool) { return strings.CutPrefix(id.Key, "out/") }
+
+func (decoder) Upstream(row rows.Row, _ time.Duration) (*site.Upstream, error) {
+	u := new(site.Upstream)
+	if err := json.Unmarshal(row.Value, u); err != nil {
+		return nil, errBad
+	}
+	u.ID = row.Key
+	return u, nil
+}
+
+func (m *mate) News(context.Context, watch.Positions) (watch.News, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.news, m.ok
+}
+
+func (m *mate) tell(news watch.News) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.news, m.ok = news, true
+}
+
+func newDeployment(t *testing.T, prepare func(d *deployment)) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: rows.NewMemory(), mate: &mate{}}
+	if prepare != nil {
+		prepare(d)
+	}
+	d.watcher = watch.NewWatcher(hclog.NewNullLogger(), d.store, decoder{}, d.mate, watch.Events{Works: func() {}, Lost: func() {}})
+	d.watcher.Start()
+	t.Cleanup(d.watcher.Close)
+	return d
+}
+
+func (d *deployment) put(table, key string, value any) {
+	d.t.Helper()
+	encoded, err := json.Marshal(value)
+	assert.NilError(d.t, err)
+	_, err = d.store.Commit(d.t.Context(), rows.Txn{Writes: []rows.Write{{ID: rows.ID{Table: table, Key: key}, Value: encoded}}})
+	assert.NilError(d.t, err)
+}
+
+func (d *deployment) remove(table, key string) {
+	d.t.Helper()
+	_, err := d.store.Commit(d.t.Context(), rows.Txn{Removes: []rows.ID{{Table: table, Key: key}}})
+	assert.NilError(d.t, err)
+}
+
+// within waits until the condition holds and fails after the time.
+func (d *deployment) within(limit time.Duration, what string, holds func(v *site.View) bool) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		if holds(d.watcher.View()) {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(limit), poll.WithDelay(5*time.Millisecond))
+}
+
+func (d *deployment) age() time.Duration {
+	age, ok := d.watcher.Age(common.Uptime())
+	if !ok {
+		return time.Hour
+	}
+	return age
+}
+
+func TestChangesAreFollowed(t *testing.T) {
+	d := newDeployment(t, nil)
+	d.put("orders", "config", site.Config{Version: 3})
+	d.within(time.Second, "config 3", func(v *site.View) bool { return v.Version == 3 })
+	d.put("orders", "config", site.Config{Version: 7})
+	d.within(time.Second, "config 7", func(v *site.View) bool { return v.Version == 7 })
+	d.put("orders", "config", site.Config{Version: 5})
+	d.put("orders", "out/a", true)
+	d.within(time.Second, "domain out", func(v *site.View) bool { return v.DomainOut("a") })
+	assert.Equal(t, d.watcher.View().Version, int64(7))
+	d.remove("orders", "out/a")
+	d.within(time.Second, "domain in", func(v *site.View) bool { return !v.DomainOut("a") })
+
+	d.put("upstreams", "i-1", site.Upstream{Service: "s"})
+	d.put("upstreams", "i-2", "not an upstream")
+	d.within(2*time.Second, "one upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
+	d.remove("upstreams", "i-1")
+	d.within(2*time.Second, "no upstream", func(v *site.View) bool { return len(v.Pool("s")) == 0 })
+}
+
+func TestHistoryThatIsGoneIsReadAnew(t *testing.T) {
+	d := newDeployment(t, func(d *deployment) {
+		d.put("orders", "config", site.Config{Version: 1})
+		d.put("orders", "out/a", true)
+	})
+	d.within(time.Second, "domain out", func(v *site.View) bool { return v.DomainOut("a") })
+	d.store.SetFault(rows.ErrNotDone, false)
+	d.within(3*time.Second, "feed lost", func(*site.View) bool { return d.age() > 1200*time.Millisecond })
+	d.store.SetFault(nil, false)
+	d.remove("orders", "out/a")
+	d.store.Compact()
+	d.within(time.Second, "domain in", func(v *site.View) bool { return !v.DomainOut("a") })
+}
+
+// After an outage the first answer must not be held back, or keys stay too old
+// to be taken for as long as the store holds an empty answer.
+func TestFreshAtOnceAfterAnOutage(t *testing.T) {
+	d := newDeployment(t, func(d *deployment) { d.put("orders", "config", site.Config{Version: 1}) })
+	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 1 })
+	d.store.SetFault(rows.ErrNotDone, false)
+	d.within(4*time.Second, "old", func(*site.View) bool { return d.age() > 2*time.Second })
+	d.store.SetFault(nil, false)
+	d.within(500*time.Millisecond, "fresh", func(*site.View) bool { return d.age() < 500*time.Millisecond })
+}
+
+func TestUpstreamsMissingAfterAnOutageAreGivenTime(t *testing.T) {
+	d := newDeployment(t, func(d *deployment) { d.put("upstreams", "i-1", site.Upstream{Service: "s"}) })
+	d.within(time.Second, "upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
+	d.store.SetFault(rows.ErrNotDone, false)
+	d.within(4*time.Second, "old", func(*site.View) bool { return d.age() > 1500*time.Millisecond })
+	d.returnWithout("upstreams", "i-1")
+	time.Sleep(time.Second)
+	assert.Equal(t, len(d.watcher.View().Pool("s")), 1)
+	d.within(4*time.Second, "gone", func(v *site.View) bool { return len(v.Pool("s")) == 0 })
+}
+
+// returnWithout ends the outage with a row gone.
+func (d *deployment) returnWithout(table, key string) {
+	d.store.SetFault(nil, false)
+	d.remove(table, key)
+}
+
+func TestOtherInstancesHelpWhileTheStoreIsAway(t *testing.T) {
+	config, err := json.Marshal(site.Config{Version: 9})
+	assert.NilError(t, err)
+	d := newDeployment(t, func(d *deployment) { d.store.SetFault(rows.ErrNotDone, false) })
+	time.Sleep(300 * time.Millisecond)
+	assert.Equal(t, d.age(), time.Hour)
+	d.mate.tell(watch.News{
+		Age: 100 * time.Millisecond, Known: true,
+		Rows: []rows.Row{{ID: rows.ID{Table: "orders", Key: "config"}, Value: config, Version: 4}},
+	})
+	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 9 })
+	assert.Assert(t, d.age() >= 100*time.Millisecond && d.age() < time.Second)
+	told := d.watcher.Tell(watch.Positions{})
+	assert.Equal(t, len(told.Rows), 1)
+}
