Keep programs where their prompts are

Ruled out: fewer upstreams (two had left), quota, store. A program now stays unless its upstream is full and much fuller than others, new ones fall to one place from every instance, and a single broken answer is no reason to leave.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -30,6 +30,9 @@
 	// ErrUnavailable says that it can't be told whether the budget holds the turn.
 	ErrUnavailable = errors.ConstError("budget can't be read")
 
+	// errNoHome says that the program's home can't tell of advances.
+	errNoHome = errors.ConstError("the program's home can't tell of advances")
+
 	// Table holds one row for each program.
 	Table = "budgets"
 	// SpenderTable names the programs that have taken much of their budget.
@@ -50,7 +53,7 @@
 	lastWait = 500 * time.Millisecond
 	// bookTime is the time after an outage within which homes have written their
 	// advances.
-	bookTime = 3 * time.Second
+	bookTime = 1500 * time.Millisecond
 	// avoidStore is how long the store is left aside after it did not answer.
 	avoidStore = 300 * time.Millisecond
 	// sliceTurns is how many turns at their most a slice holds. A larger one
@@ -195,7 +198,7 @@
 func (l *Ledger) obtain(ctx context.Context, a *account, program string, total, most int) error {
 	if !l.avoids() {
 		err := l.extendFor(ctx, storeWait, a, program, total, most)
-		if !errors.Is(err, ErrUnavailable) {
+		if !errors.Is(err, ErrUnavailable) || errors.Is(err, errNoHome) {
 			return err
 		}
 		l.avoid()
@@ -368,7 +371,7 @@
 
 func (l *Ledger) refuse(e *extension, r record, need int, version int64) error {
 	if e.doubt && e.homeErr != nil {
-		return errors.Annotate(ErrUnavailable, "the program's home can't tell of advances")
+		return errors.WithType(errors.WithType(e.homeErr, errNoHome), ErrUnavailable)
 	}
 	l.log.Info("A turn was refused, the budget is spent.", "program", e.program, "total", r.Total,
 		"granted", r.sum(), "needed", need, "rowVersion", version, "holderLost", e.lost)
--- a/budget/home.go
+++ b/budget/home.go
@@ -17,10 +17,11 @@
 	// spenderShare is the part of a budget, in percent, beyond which a program
 	// counts as a spender and gets no advance.
 	spenderShare = 50
-	// advanceShare is the part of a budget, in percent, that a home may advance
-	// beside one turn. With what a program that is no spender was granted, that
-	// is less than the budget and one turn.
-	advanceShare = 25
+	// advanceParts is the part of a budget, and of one turn more, that a home may
+	// advance: a quarter of the one and half of the other. Two homes, as instances
+	// with different rosters may see them, together advance no more than what a
+	// program that is no spender has left of the budget and one turn.
+	advanceParts = 4
 	// advanceTurns is how many turns at their most one advance holds.
 	advanceTurns = 2
 	// bookInterval is the time between two tries to write advances to the store.
@@ -36,8 +37,9 @@
 	// store is away.
 	home struct {
 		mu sync.Mutex
-		// ready is set once the table of spenders was read whole.
+		// ready is set once the table of spenders was read whole, at readyAt.
 		ready    bool
+		readyAt  time.Duration
 		spenders map[string]bool
 		advances map[string]*advance
 	}
@@ -63,7 +65,9 @@
 	l.SpenderRows(found)
 	l.home.mu.Lock()
 	defer l.home.mu.Unlock()
-	l.home.ready = true
+	if !l.home.ready {
+		l.home.ready, l.home.readyAt = true, common.Uptime()
+	}
 }
 
 // SpenderRows notes changes of the table of spenders.
@@ -87,7 +91,7 @@
 }
 
 // maxAdvance is the most that a program gets while the store is away.
-func maxAdvance(total, most int) int { return total*advanceShare/100 + most }
+func maxAdvance(total, most int) int { return (total + 2*most) / advanceParts }
 
 // Advance gives the holder tokens of a program that falls to this instance. It
 // gives none to a program that may have spent much of its budget, or if this
@@ -115,11 +119,12 @@
 }
 
 // Unbooked returns the advances of a program, by holder. It fails if this
-// instance can't know, since it started only just now.
+// instance can't know: a process before it may have given some, which their
+// holders write to the store shortly after it can be reached.
 func (l *Ledger) Unbooked(program string) (map[string]int, error) {
 	l.home.mu.Lock()
 	defer l.home.mu.Unlock()
-	if !l.home.ready {
+	if !l.home.ready || common.Uptime() < l.home.readyAt+bookTime {
 		return nil, ErrUnavailable
 	}
 	a, ok := l.home.advances[program]
--- a/front/front.go
+++ b/front/front.go
@@ -38,6 +38,11 @@
 	// working. The age of keys is counted from before the store was asked, so it
 	// only covers the coarseness of timers.
 	keyMargin = 100 * time.Millisecond
+	// lostInterval is the time between two looks for instances that are gone.
+	lostInterval = 2 * time.Second
+	// lostAfter is how long an instance must have been out of reach to be taken
+	// off the roster. Restarts take less.
+	lostAfter = 8 * time.Second
 	// cacheShare is the part of the memory that turns may take.
 	cacheShare = 8
 	// budgetMemory is how long a program without turns is remembered.
@@ -195,6 +200,7 @@
 	f.watcher.Follow(roster.Table, []string{""}, f.wholeRoster, f.rosterRows)
 	f.watcher.Follow(budget.SpenderTable, budget.Parts(), f.ledger.WholeSpenders, f.ledger.SpenderRows)
 	f.group.Go(f.register)
+	f.group.Go(f.removeLost)
 	for i, server := range []*http.Server{f.callers, f.ready, f.metrics} {
 		f.group.Go(func(context.Context) { f.serve(server, f.listeners[i]) })
 	}
@@ -277,6 +283,22 @@
 	}
 }
 
+// removeLost takes instances off the roster that nobody here could reach for
+// long. One that lives registers again.
+func (f *Front) removeLost(ctx context.Context) {
+	for group.Sleep(ctx, lostInterval) {
+		age, known := f.watcher.Age(common.Uptime())
+		if !known || age > time.Duration(f.bounds.Load().ConfigDelay) {
+			// Rather this instance is the one that is cut off.
+			continue
+		}
+		for _, name := range f.roster.Lost(common.Uptime(), lostAfter) {
+			_, err := f.direct.Commit(ctx, f.roster.Removal(name))
+			f.log.Warn("An instance was not reached for long, it is taken off the roster.", "instance", name, "error", err)
+		}
+	}
+}
+
 func (f *Front) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath {
 		http.NotFound(w, r)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -18,15 +18,29 @@
 	// homeTTL is how long a program's last upstream is remembered; tool pauses
 	// are far shorter.
 	homeTTL = 20 * time.Second
-	// homeSlack is how much fuller, as a share of its slots, the upstream that
-	// holds the program's prompt may be than the emptiest one.
-	homeSlack = 0.35
-	// objectSlack is the same for the upstream that knows an object.
+	// fullFill is the share of an upstream's slots up to which a program stays
+	// where its prompt is. Reading a prompt again elsewhere holds up everything
+	// that runs there, which costs more than a fuller batch.
+	fullFill = 1.0
+	// homeSlack is how much fuller than the emptiest upstream a full one may be
+	// for a program to stay.
+	homeSlack = 0.5
+	// roomyFill is the share of its slots up to which an upstream takes new
+	// programs that fall to it, however empty others are.
+	roomyFill = 0.6
+	// boundedLoad is how much fuller than the mean it may be beyond that.
+	boundedLoad = 1.25
+	// objectSlack is how much fuller than the emptiest one the upstream that
+	// knows an object may be.
 	objectSlack = 0.34
 	// firstRest and longestRest bound how long an upstream gets nothing after a
 	// failure; the time doubles with each one in a row.
 	firstRest   = 300 * time.Millisecond
 	longestRest = 4 * time.Second
+	// maxDoublings is where the time stops to grow.
+	maxDoublings = 4
+	// failuresToRest is how many broken answers in a row let an upstream rest.
+	failuresToRest = 2
 	// busyRest is how long an upstream gets nothing after it refused a request
 	// for lack of room; about one request of a plain service.
 	busyRest = 25 * time.Millisecond
@@ -40,8 +54,10 @@
 	Answered Outcome = iota
 	// Busy upstreams refused for lack of room.
 	Busy
-	// Broken upstreams failed to connect or broke off.
+	// Broken upstreams broke off after the request was sent.
 	Broken
+	// Unreachable upstreams could not be sent the request.
+	Unreachable
 	// Moved upstreams no longer have their address.
 	Moved
 	// Abandoned requests were given up by this side.
@@ -144,17 +160,29 @@
 		r.failures = 0
 	case Busy:
 		r.restUntil = max(r.restUntil, now+busyRest)
-	case Broken, Moved:
+	case Broken:
 		r.failures++
-		rest := longestRest
-		if r.failures < 5 {
-			rest = min(longestRest, firstRest<<(r.failures-1))
+		// A single broken answer says little of the next one, and resting sends
+		// programs away from their prompts.
+		if r.failures >= failuresToRest {
+			r.rest(r.failures-failuresToRest, now)
 		}
-		r.restUntil = max(r.restUntil, now+rest)
+	case Unreachable, Moved:
+		r.failures++
+		r.rest(r.failures-1, now)
 	case Abandoned:
 	}
 }
 
+// rest keeps requests from the upstream for a time that doubles.
+func (r *record) rest(doublings int, now time.Duration) {
+	rest := longestRest
+	if doublings < maxDoublings {
+		rest = min(longestRest, firstRest<<doublings)
+	}
+	r.restUntil = max(r.restUntil, now+rest)
+}
+
 // Report notes the load that an upstream told with an answer.
 func (p *Picker) Report(upstream string, load Load, now time.Duration) {
 	p.mu.Lock()
@@ -192,7 +220,10 @@
 	if need.Program == "" {
 		return
 	}
-	p.homes[need.Program] = home{upstream: u.ID, usedAt: need.Now}
+	if len(need.Tried) == 0 {
+		// Where a request went because its home failed once isn't a new home.
+		p.homes[need.Program] = home{upstream: u.ID, usedAt: need.Now}
+	}
 	if len(p.homes) < p.sweptLen {
 		return
 	}
@@ -239,25 +270,51 @@
 // choose returns the index of the candidate to try first.
 func (p *Picker) choose(found []candidate, need Need) int {
 	least := emptiest(found, need)
-	name, slack := need.Object, objectSlack
-	if need.Program != "" && need.Object == "" {
-		name, slack = need.Program, homeSlack
-		if i := indexOf(found, p.home(need.Program, need.Now)); i >= 0 && holds(found[i], found[least], slack) {
-			return i
-		}
-	}
-	if name == "" {
+	switch {
+	case need.Program != "":
+		return p.chooseForProgram(found, least, need)
+	case need.Object == "":
 		return least
 	}
-	if i := rendezvous(found, name); holds(found[i], found[least], slack) {
+	i := rendezvous(found, need.Object)
+	if !found[i].cold && found[i].fill <= found[least].fill+objectSlack {
 		return i
 	}
 	return least
 }
 
-// holds tells whether the preferred candidate is worth its fuller queue.
-func holds(preferred, least candidate, slack float64) bool {
-	return !preferred.cold && preferred.fill <= least.fill+slack
+// chooseForProgram keeps a program where it ran before, and else sends it where
+// it falls by its name, which is the same place from every instance, unless
+// that is much fuller than the others.
+func (p *Picker) chooseForProgram(found []candidate, least int, need Need) int {
+	if i := indexOf(found, p.home(need.Program, need.Now)); i >= 0 {
+		c := found[i]
+		if !c.cold && (c.fill < fullFill || c.fill <= found[least].fill+homeSlack) {
+			return i
+		}
+	}
+	limit := max(roomyFill, boundedLoad*meanFill(found))
+	best, most := -1, uint64(0)
+	for i, c := range found {
+		if c.cold || c.fill > limit {
+			continue
+		}
+		if w := weight(c.upstream.ID, need.Program); best < 0 || w > most {
+			best, most = i, w
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
+
+func meanFill(found []candidate) float64 {
+	sum := 0.0
+	for _, c := range found {
+		sum += c.fill
+	}
+	return sum / float64(len(found))
 }
 
 // emptiest returns the warm candidate with the lowest fill, or the emptiest
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,125 @@
+package pick_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+const slots = 8
+
+func newView(n int, change func(us []*site.Upstream)) *site.View {
+	us := make([]*site.Upstream, n)
+	for i := range us {
+		us[i] = &site.Upstream{ID: fmt.Sprintf("i-%d", i), Service: "m", Slots: slots, FailureDomain: string(rune('a' + i%3))}
+	}
+	if change != nil {
+		change(us)
+	}
+	return site.NewView(nil, us, map[string]bool{"c": true})
+}
+
+func TestNotPicked(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(us []*site.Upstream)
+		before func(p *pick.Picker)
+		cold   bool
+		want   string
+	}{
+		{name: "out, draining and tried ones", change: func(us []*site.Upstream) { us[0].State = site.Draining }, want: ""},
+		{name: "sound", want: "i-0"},
+		{name: "cold without allowance", change: func(us []*site.Upstream) { us[0].ColdUntil = time.Hour }, want: ""},
+		{name: "cold with allowance", change: func(us []*site.Upstream) { us[0].ColdUntil = time.Hour }, cold: true, want: "i-0"},
+		{
+			name:   "doubtful rather than none",
+			before: func(p *pick.Picker) { p.Done("i-0", pick.Unreachable, time.Minute) },
+			want:   "i-0",
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := pick.NewPicker()
+			if tt.before != nil {
+				tt.before(p)
+			}
+			u := p.Pick(newView(3, tt.change), pick.Need{
+				Service: "m", Now: time.Minute, Tried: []string{"i-1"}, Cold: func(*site.Upstream) bool { return tt.cold },
+			})
+			if tt.want == "" {
+				assert.Assert(t, u == nil)
+				return
+			}
+			assert.Equal(t, u.ID, tt.want)
+		})
+	}
+}
+
+// Instances that share nothing send a program's lines to the same upstream.
+func TestProgramFallsToOnePlaceFromEveryInstance(t *testing.T) {
+	view := newView(9, nil)
+	moved := 0
+	for i := range 200 {
+		need := pick.Need{Service: "m", Program: fmt.Sprintf("p%d", i), Now: time.Minute}
+		if pick.NewPicker().Pick(view, need).ID != pick.NewPicker().Pick(view, need).ID {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 0)
+}
+
+// A fuller batch is no reason to read a prompt again elsewhere, and neither is
+// one broken answer: programs that moved at each chance read their prompts
+// again at each turn, which kept the upstreams overloaded for good.
+func TestProgramStaysWhereItsPromptIs(t *testing.T) {
+	tests := []struct {
+		name   string
+		load   pick.Load
+		broken int
+		stays  bool
+	}{
+		{name: "nothing else runs", stays: true},
+		{name: "the batch is nearly full", load: pick.Load{Running: slots - 1, Slots: slots}, stays: true},
+		{name: "many wait", load: pick.Load{Running: slots, Waiting: slots, Slots: slots}},
+		{name: "one broken answer", broken: 1, stays: true},
+		{name: "broken answers in a row", broken: 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := pick.NewPicker()
+			view := newView(9, nil)
+			need := pick.Need{Service: "m", Program: "p", Now: time.Minute}
+			first := p.Pick(view, need)
+			p.Done(first.ID, pick.Answered, need.Now)
+			if tt.load.Slots > 0 {
+				p.Report(first.ID, tt.load, need.Now)
+			}
+			for range tt.broken {
+				p.Done(first.ID, pick.Broken, need.Now)
+			}
+			need.Now += 100 * time.Millisecond
+			assert.Equal(t, p.Pick(view, need).ID == first.ID, tt.stays)
+		})
+	}
+}
+
+func TestNewProgramsSpreadUnderLoad(t *testing.T) {
+	p := pick.NewPicker()
+	view := newView(9, func(us []*site.Upstream) {
+		for _, u := range us {
+			u.FailureDomain = "a"
+		}
+	})
+	counts := make(map[string]int)
+	for i := range 9 * slots {
+		counts[p.Pick(view, pick.Need{Service: "m", Program: fmt.Sprintf("p%d", i), Now: time.Minute}).ID]++
+	}
+	for id, n := range counts {
+		assert.Assert(t, n <= slots+3, "%s has %d", id, n)
+	}
+}
--- a/watch/news.go
+++ b/watch/news.go
@@ -11,8 +11,9 @@
 
 const (
 	// askAge is how old the knowledge of the operator's table may become before
-	// other instances are asked; a feed that works is never older.
-	askAge = feedWait + 300*time.Millisecond
+	// other instances are asked. While a call is held, the knowledge is that of
+	// the start of the call before.
+	askAge = 2*feedWait + 300*time.Millisecond
 	// askInterval is the time between two such questions.
 	askInterval = 200 * time.Millisecond
 )
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -20,7 +20,7 @@
 const (
 	// feedWait is how long the store holds an empty answer. The age of keys is
 	// counted from a call's start, so it also bounds their age in calm times.
-	feedWait = time.Second
+	feedWait = 700 * time.Millisecond
 	// feedSlack is how long an answer may take beyond that.
 	feedSlack = 700 * time.Millisecond
 	// readWait bounds the read of a whole table.
