--- a/budget/budget.go
+++ b/budget/budget.go
@@ -51,9 +51,10 @@
 	storeWait = 150 * time.Millisecond
 	// lastWait is how long the store is awaited where nothing else helps.
 	lastWait = 500 * time.Millisecond
-	// bookTime is the time after an outage within which homes have written their
-	// advances.
-	bookTime = 1500 * time.Millisecond
+	// BookTime is the time after an outage, and after a process' start, within
+	// which homes and holders have written advances to the store; they try each
+	// few hundred milliseconds.
+	BookTime = 1500 * time.Millisecond
 	// avoidStore is how long the store is left aside after it did not answer.
 	avoidStore = 300 * time.Millisecond
 	// sliceTurns is how many turns at their most a slice holds. A larger one
@@ -79,15 +80,22 @@
 		NoteSpender(ctx context.Context, program string)
 	}
 
+	// Config has a ledger's times.
+	Config struct {
+		// Forget is how long a program without turns is remembered.
+		Forget time.Duration
+		// BookTime is how long advances may be missing from the store.
+		BookTime time.Duration
+	}
+
 	// Ledger is the instance's part of the budgets. It is safe for concurrent
 	// use.
 	Ledger struct {
-		log    hclog.Logger
-		store  rows.Store
-		asker  Asker
-		holder string
-		// forget is how long a program without turns is remembered.
-		forget   time.Duration
+		log      hclog.Logger
+		store    rows.Store
+		asker    Asker
+		holder   string
+		config   Config
 		mu       sync.Mutex
 		accounts map[string]*account
 		sweepAt  int
@@ -147,13 +155,13 @@
 
 // NewLedger returns a ledger whose slices stand under the holder's name, which
 // must be new with each process. Close must be called.
-func NewLedger(log hclog.Logger, store rows.Store, asker Asker, holder string, forget time.Duration) *Ledger {
+func NewLedger(log hclog.Logger, store rows.Store, asker Asker, holder string, config Config) *Ledger {
 	l := &Ledger{
 		log:      log,
 		store:    store,
 		asker:    asker,
 		holder:   holder,
-		forget:   forget,
+		config:   config,
 		accounts: make(map[string]*account),
 		sweepAt:  idleAccounts,
 		home:     newHome(),
@@ -207,6 +215,8 @@
 	if err == nil && tokens > 0 {
 		l.noteAdvance(a, tokens)
 		l.log.Info("A program got an advance on its budget.", "program", program, "tokens", tokens)
+	}
+	if l.left(a) >= most {
 		return nil
 	}
 	return l.extendFor(ctx, lastWait, a, program, total, most)
@@ -229,7 +239,7 @@
 func (l *Ledger) doubts() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return common.Uptime() < l.awayAt+bookTime
+	return common.Uptime() < l.awayAt+l.config.BookTime
 }
 
 func (l *Ledger) avoid() {
@@ -281,7 +291,7 @@
 
 func (l *Ledger) sweep(now time.Duration) {
 	for program, a := range l.accounts {
-		if a.reserved == 0 && a.advanced == a.booked && now-a.usedAt > l.forget {
+		if a.reserved == 0 && a.advanced == a.booked && now-a.usedAt > l.config.Forget {
 			delete(l.accounts, program)
 		}
 	}
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -24,13 +24,15 @@
 	started int
 	opened  []*budget.Ledger
 	home    *budget.Ledger
+	// bookTime is 0 where no outage was before.
+	bookTime time.Duration
 }
 
 var errGone = errors.New("holder has ended")
 
 // newFleet returns a fleet with one process, which all programs fall to.
-func newFleet() *fleet {
-	f := &fleet{store: rows.NewMemory(), ledgers: make(map[string]*budget.Ledger)}
+func newFleet(bookTime time.Duration) *fleet {
+	f := &fleet{store: rows.NewMemory(), ledgers: make(map[string]*budget.Ledger), bookTime: bookTime}
 	f.home = f.start()
 	f.home.WholeSpenders(nil)
 	return f
@@ -42,7 +44,7 @@
 	defer f.mu.Unlock()
 	f.started++
 	holder := fmt.Sprintf("front-%d#%d", f.started, f.started)
-	l := budget.NewLedger(hclog.NewNullLogger(), f.store, f, holder, time.Minute)
+	l := budget.NewLedger(hclog.NewNullLogger(), f.store, f, holder, budget.Config{Forget: time.Minute, BookTime: f.bookTime})
 	f.ledgers[holder] = l
 	f.opened = append(f.opened, l)
 	return l
@@ -99,7 +101,7 @@
 		most  = 100
 	)
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet()
+		f := newFleet(0)
 		defer f.close()
 		ledgers := []*budget.Ledger{f.start(), f.start(), f.start()}
 		handed, open := 0, 0
@@ -221,8 +223,6 @@
 					l.Settle("p", most, most/2)
 					f.kill(l)
 				}
-				// The new process' home can't tell of advances at once.
-				time.Sleep(1700 * time.Millisecond)
 				l := f.start()
 				return l.Reserve(t.Context(), "p", total, most, 0)
 			},
@@ -283,7 +283,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := newFleet()
+			f := newFleet(0)
 			defer f.close()
 			err := tt.turn(t, f)
 			if tt.want == nil {
@@ -298,7 +298,7 @@
 // Advances count once the store is back, whoever asks.
 func TestAdvancesAreBooked(t *testing.T) {
 	const total, most = 800, 100
-	f := newFleet()
+	f := newFleet(0)
 	defer f.close()
 	f.store.SetFault(rows.ErrNotDone, false)
 	l := f.start()
@@ -309,8 +309,7 @@
 	}
 	assert.Equal(t, handed, total/4)
 	f.store.SetFault(nil, false)
-	// Until then a home that has just started can't tell of advances.
-	time.Sleep(1700 * time.Millisecond)
+	time.Sleep(600 * time.Millisecond)
 	other := f.start()
 	for other.Reserve(t.Context(), "p", total, most, 0) == nil {
 		other.Settle("p", most, most)
@@ -325,7 +324,7 @@
 	const most = 100
 	rapid.Check(t, func(t *rapid.T) {
 		total := most * rapid.IntRange(1, 9).Draw(t, "turns")
-		f := newFleet()
+		f := newFleet(budget.BookTime)
 		defer f.close()
 		ledgers := []*budget.Ledger{f.start(), f.start()}
 		handed := 0
@@ -370,7 +369,7 @@
 	const most = 100
 	for turns := 1; turns <= 9; turns++ {
 		total := turns * most
-		f := newFleet()
+		f := newFleet(0)
 		handed := 0
 		spend := func(l *budget.Ledger) {
 			for {
--- a/budget/home.go
+++ b/budget/home.go
@@ -109,7 +109,7 @@
 		h.advances[program] = a
 	}
 	tokens := min(advanceTurns*most, maxAdvance(a.total, most)-a.sum)
-	if tokens < most {
+	if tokens <= 0 {
 		return 0
 	}
 	a.sum += tokens
@@ -124,7 +124,7 @@
 func (l *Ledger) Unbooked(program string) (map[string]int, error) {
 	l.home.mu.Lock()
 	defer l.home.mu.Unlock()
-	if !l.home.ready || common.Uptime() < l.home.readyAt+bookTime {
+	if !l.home.ready || common.Uptime() < l.home.readyAt+l.config.BookTime {
 		return nil, ErrUnavailable
 	}
 	a, ok := l.home.advances[program]
--- a/front/front.go
+++ b/front/front.go
@@ -104,7 +104,8 @@
 	f.conns = peer.NewConns(f.common.Metrics)
 	f.mates = mates.NewMates(log.Named("mates"), f.roster, f.conns)
 	f.store = detour.NewStore(f.direct, f.mates)
-	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()), budgetMemory)
+	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.mates, mates.HolderName(f.roster.Self()),
+		budget.Config{Forget: budgetMemory, BookTime: budget.BookTime})
 	f.mates.Serve(f.ledger)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.mates,
 		watch.Events{Works: f.store.Works, Lost: f.ledger.StoreLost})
