--- a/detour/detour.go
+++ b/detour/detour.go
@@ -29,8 +29,8 @@
 type (
 	// Ways are the other instances.
 	Ways interface {
-		// Through makes the call through another instance. The errors are those
-		// of rows.Store; ErrNotDone also stands for no instance that answers.
+		// Both make a call through another instance. The errors are those of
+		// rows.Store; ErrNotDone also stands for no instance that could be asked.
 		CommitThrough(ctx context.Context, txn rows.Txn) (int64, error)
 		RangeThrough(ctx context.Context, q rows.Query) (rows.Page, error)
 	}
@@ -158,7 +158,7 @@
 	return b
 }
 
-// Reply turns the outcome of a call into a message.
+// NewReply turns the outcome of a call into a message.
 func NewReply(page rows.Page, err error) *Reply {
 	var conflict *rows.ConflictError
 	switch {
--- a/share/share.go
+++ b/share/share.go
@@ -82,7 +82,6 @@
 		tightUntil time.Duration
 		// dryUntil is when borrowing is worth another try.
 		dryUntil  time.Duration
-		borrowing bool
 	}
 )
 
