--- a/share/share.go
+++ b/share/share.go
@@ -81,7 +81,7 @@
 		// tightUntil is when programs may open again.
 		tightUntil time.Duration
 		// dryUntil is when borrowing is worth another try.
-		dryUntil  time.Duration
+		dryUntil time.Duration
 	}
 )
 
