--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,228 @@
+package front_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/front"
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+// storeServer speaks the platform's store over rows in memory.
+type storeServer struct {
+	memory *rows.Memory
+}
+
+type wireRow struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"row_version"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+func (r wireRow) id() rows.ID { return rows.ID{Table: r.Table, Part: r.Part, Key: r.Key} }
+
+func (s storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	var page rows.Page
+	var err error
+	switch r.URL.Path {
+	case "/-/rows-tx":
+		page.Version, err = s.commit(r)
+	case "/-/rows-get":
+		limit, _ := strconv.Atoi(q.Get("limit"))
+		page, err = s.memory.Range(r.Context(), rows.Query{Table: q.Get("table"), Part: q.Get("part"), From: q.Get("from"), To: q.Get("to"), Limit: limit})
+	case "/-/rows-feed":
+		after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+		wait, _ := strconv.Atoi(q.Get("wait_ms"))
+		page, err = s.memory.Feed(r.Context(), q.Get("table"), after, time.Duration(wait)*time.Millisecond)
+	}
+	var conflict *rows.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		w.WriteHeader(http.StatusPreconditionFailed)
+		page.Rows = conflict.Rows
+	case errors.Is(err, rows.ErrHistoryGone):
+		w.WriteHeader(http.StatusGone)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	wire := make([]wireRow, 0, len(page.Rows))
+	for _, x := range page.Rows {
+		wire = append(wire, wireRow{Table: x.Table, Part: x.Part, Key: x.Key, Value: x.Value, Version: x.Version, Deleted: x.Deleted})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": wire, "has_more": page.More, "row_version": page.Version, "now_ms": 1})
+}
+
+func (s storeServer) commit(r *http.Request) (int64, error) {
+	var wire struct {
+		Expect []wireRow `json:"expect"`
+		Writes []wireRow `json:"writes"`
+		Remove []wireRow `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&wire); err != nil {
+		return 0, err
+	}
+	var txn rows.Txn
+	for _, x := range wire.Expect {
+		txn.Expect = append(txn.Expect, rows.Expectation{ID: x.id(), Version: x.Version})
+	}
+	for _, x := range wire.Writes {
+		txn.Writes = append(txn.Writes, rows.Write{ID: x.id(), Value: x.Value})
+	}
+	for _, x := range wire.Remove {
+		txn.Removes = append(txn.Removes, x.id())
+	}
+	return s.memory.Commit(r.Context(), txn)
+}
+
+// deployment is a store, one engine and a configuration with one route.
+type deployment struct {
+	t      *testing.T
+	memory *rows.Memory
+	store  *httptest.Server
+	engine *httptest.Server
+}
+
+func newDeployment(t *testing.T) *deployment {
+	t.Helper()
+	d := &deployment{t: t, memory: rows.NewMemory()}
+	d.store = httptest.NewServer(storeServer{d.memory})
+	t.Cleanup(d.store.Close)
+	d.engine = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Seal", "seal")
+		_, _ = fmt.Fprintf(w, "id: 1\ndata: <%s>\n\n", bytes.ReplaceAll(body, []byte("\n"), []byte("|")))
+	}))
+	t.Cleanup(d.engine.Close)
+	d.put("op", "config", `{"version": 3, "routes": [{"name": "chat", "host": "h", "prefix": "/", "route_kind": "streaming",
+		"timeout_ms": 2000, "service": "m", "max_attempts": 1, "retain": true, "retain_s": 60}],
+		"services": [{"name": "m", "engine": {"slots": 8, "kv_capacity": 1000, "stride": 5}}],
+		"tenants": [{"name": "team", "api_keys": ["key"], "rate_per_s": 100, "burst": 100}]}`)
+	d.put("servers", "i-1", `{"service": "m", "addr": "`+d.engine.Listener.Addr().String()+`", "zone": "a", "version": "v1",
+		"slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": 1}`)
+	return d
+}
+
+func (d *deployment) put(table, key, value string) {
+	d.t.Helper()
+	_, err := d.memory.Commit(d.t.Context(), rows.Txn{Writes: []rows.Write{{ID: rows.ID{Table: table, Key: key}, Value: []byte(value)}}})
+	assert.NilError(d.t, err)
+}
+
+// start runs an instance until the test or stop ends it.
+func (d *deployment) start(name string) (settings conf.FrontSettings, stop func()) {
+	d.t.Helper()
+	settings = conf.DefaultFrontSettings()
+	settings.Instance = name
+	settings.StoreAddress = d.store.Listener.Addr().String()
+	for _, address := range []*string{&settings.CallerAddress, &settings.ReadyAddress, &settings.PeerAddress, &settings.MetricsAddress} {
+		*address = freeAddress(d.t)
+	}
+	f, err := front.NewFront(settings, hclog.NewNullLogger())
+	assert.NilError(d.t, err)
+	f.Start()
+	closed := false
+	stop = func() {
+		if !closed {
+			closed = true
+			f.Close()
+		}
+	}
+	d.t.Cleanup(stop)
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		resp, err := http.Get("http://" + settings.ReadyAddress + "/-/readiness")
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+	return settings, stop
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func (d *deployment) turn(at conf.FrontSettings, id, previous, input string) (int, string) {
+	d.t.Helper()
+	req, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+at.CallerAddress+"/x", bytes.NewReader([]byte(input)))
+	assert.NilError(d.t, err)
+	req.Host = "h"
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Deadline-Ms": "2000", "Authorization": "Bearer key", "X-Program-Id": "p",
+		"X-Token-Budget": "400", "X-Token-Count": "10,20", "X-Previous-Turn": previous,
+	} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(d.t, err)
+	return resp.StatusCode, string(body)
+}
+
+// The whole path: a conversation goes on at another instance, and after every
+// instance was replaced.
+func TestConversationOutlivesItsInstances(t *testing.T) {
+	d := newDeployment(t)
+	one, stopOne := d.start("one")
+	two, stopTwo := d.start("two")
+
+	status, body := d.turn(one, "a", "", "in-a;")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: <in-a;>\n\n")
+	status, body = d.turn(two, "b", "a", "in-b;")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: <in-a;<in-a;>|in-b;>\n\n")
+
+	stopOne()
+	stopTwo()
+	three, _ := d.start("three")
+	status, body = d.turn(three, "c", "a", "in-c;")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: <in-a;<in-a;>|in-c;>\n\n")
+}
+
+// A failure domain that the operator takes out gets nothing more.
+func TestDomainThatIsTakenOut(t *testing.T) {
+	d := newDeployment(t)
+	one, _ := d.start("one")
+	status, _ := d.turn(one, "a", "", "in")
+	assert.Equal(t, status, http.StatusOK)
+	d.put("op", "evacuate/a", "{}")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _ := d.turn(one, "b", "", "in"); status == http.StatusServiceUnavailable {
+			return poll.Success()
+		}
+		return poll.Continue("the failure domain still gets requests")
+	}, poll.WithTimeout(3*time.Second), poll.WithDelay(50*time.Millisecond))
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,92 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/buckthorntide/buckthorntide/roster"
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+func newRoster(t *testing.T, self string, others ...string) *roster.Roster {
+	t.Helper()
+	r := roster.NewRoster(roster.Entry{Name: self})
+	for _, name := range others {
+		r.Set(roster.Entry{Name: name, Start: 1})
+	}
+	return r
+}
+
+func names(entries []roster.Entry) []string {
+	found := make([]string, 0, len(entries))
+	for _, e := range entries {
+		found = append(found, e.Name)
+	}
+	return found
+}
+
+func TestEveryInstanceRanksAlike(t *testing.T) {
+	one := newRoster(t, "a", "b", "c", "d")
+	other := newRoster(t, "c", "d", "a", "b")
+	for _, name := range []string{"p1", "p2", "p3"} {
+		assert.DeepEqual(t, names(one.Ranked(name)), names(other.Ranked(name)))
+	}
+}
+
+func TestRegistrationIsReadBack(t *testing.T) {
+	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
+	txn, err := roster.NewRoster(e).Registration()
+	assert.NilError(t, err)
+	got, err := roster.Decode(rows.Row{ID: txn.Writes[0].ID, Value: txn.Writes[0].Value})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, e)
+}
+
+func TestLost(t *testing.T) {
+	const after = 8 * time.Second
+	tests := []struct {
+		name string
+		call func(r *roster.Roster)
+		want []string
+	}{
+		{name: "never called", call: func(*roster.Roster) {}},
+		{name: "missed once", call: func(r *roster.Roster) { r.Missed("b", 0) }},
+		{
+			name: "missed for long",
+			call: func(r *roster.Roster) { r.Missed("b", 0); r.Missed("b", 9*time.Second) },
+			want: []string{"b"},
+		},
+		{
+			name: "reached in between",
+			call: func(r *roster.Roster) { r.Missed("b", 0); r.Reached("b"); r.Missed("b", 9*time.Second) },
+		},
+		{
+			name: "started anew",
+			call: func(r *roster.Roster) {
+				r.Missed("b", 0)
+				r.Set(roster.Entry{Name: "b", Start: 2})
+				r.Missed("b", 9*time.Second)
+			},
+		},
+		{
+			name: "no longer on the list",
+			call: func(r *roster.Roster) { r.Missed("b", 0); r.Missed("b", 9*time.Second); r.Remove("b") },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoster(t, "a", "b", "c")
+			tt.call(r)
+			assert.DeepEqual(t, r.Lost(9*time.Second, after), tt.want)
+		})
+	}
+}
+
+func TestOwnEntryThatWasRemovedIsToldOf(t *testing.T) {
+	r := newRoster(t, "a", "b")
+	assert.Assert(t, r.Remove("a"))
+	assert.Assert(t, !r.Remove("b"))
+	assert.Equal(t, r.Len(), 1)
+}
--- a/share/share.go
+++ b/share/share.go
@@ -39,7 +39,7 @@
 	burstAtOnce = 0.4
 	// openingReserve is the share of the burst that is left to programs under
 	// way when a new one opens.
-	openingReserve = 0.5
+	openingReserve = 0.25
 	// leastLoan is the smallest part of a token that is worth a loan.
 	leastLoan = 0.02
 )
