--- a/boot/front.go
+++ b/boot/front.go
@@ -83,15 +83,7 @@
 }
 
 func readFrontSettings(file string) (conf.FrontSettings, error) {
-	if file == "" {
-		return conf.DefaultFrontSettings(), nil
-	}
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		return conf.FrontSettings{}, errors.Annotate(err, "settings")
-	}
-	settings, err := conf.ParseFrontSettings(raw)
-	return settings, errors.Annotatef(err, "%s", file)
+	return readFile(file, conf.DefaultFrontSettings(), conf.ParseFrontSettings)
 }
 
 // watchSettings reads the file anew at SIGHUP and when it has changed. A file
--- a/boot/serve.go
+++ b/boot/serve.go
@@ -114,14 +114,19 @@
 }
 
 func readSettings(file string) (conf.Settings, error) {
+	return readFile(file, conf.DefaultSettings(), conf.ParseSettings)
+}
+
+// readFile reads settings from a file; no file stands for the defaults.
+func readFile[T any](file string, defaults T, parse func(source []byte) (T, error)) (T, error) {
 	if file == "" {
-		return conf.DefaultSettings(), nil
+		return defaults, nil
 	}
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return conf.Settings{}, errors.Annotate(err, "read settings")
+		return defaults, errors.Annotate(err, "read settings")
 	}
-	settings, err := conf.ParseSettings(raw)
+	settings, err := parse(raw)
 	return settings, errors.Annotatef(err, "settings %s", file)
 }
 
--- /dev/null
+++ b/budget/extension.go
@@ -0,0 +1,163 @@
+package budget
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+// extension is one attempt to take a further slice.
+type extension struct {
+	program string
+	most    int
+	// doubt says that advances may not be in the row yet; unbooked are those
+	// that the program's home knows, homeErr says that it can't tell.
+	doubt    bool
+	unbooked map[string]int
+	homeErr  error
+	// asked is set once the other holders were asked; freed is what they gave
+	// up, lost says that one of them wasn't reached.
+	asked bool
+	freed map[string]int
+	lost  bool
+}
+
+// extend takes a further slice of the program's budget from the store.
+func (l *Ledger) extend(ctx context.Context, a *account, program string, total, most int) error {
+	e := &extension{
+		program: program,
+		most:    most,
+		doubt:   l.doubts(),
+		freed:   make(map[string]int),
+	}
+	current := rows.Row{ID: rowID(program)}
+	for range maxTries {
+		r, err := decode(current, total)
+		if err != nil {
+			l.log.Error("A program's budget can't be read.", "program", program, "error", err)
+			return errors.WithType(err, ErrUnavailable)
+		}
+		l.settleDoubt(ctx, e, &r, a)
+		need := most - l.left(a)
+		if e.free(r) < need && !e.asked && current.Version != 0 {
+			e.asked = true
+			e.lost = l.reclaim(ctx, program, r, e.freed)
+			continue
+		}
+		if e.free(r) < need {
+			return l.refuse(e, r, need, current.Version)
+		}
+		known := r.Spender
+		grant := max(need, min(e.free(r)/2, sliceTurns*most))
+		r.Slices[l.holder] += grant
+		conflict, err := l.write(ctx, current, &r)
+		if err != nil {
+			return err
+		}
+		if conflict == nil {
+			if r.Spender && !known {
+				l.asker.NoteSpender(ctx, program)
+			}
+			l.grant(a, grant, r.Advances[l.holder])
+			return nil
+		}
+		current = conflict.Row(current.ID)
+	}
+	return errors.Annotate(ErrUnavailable, "row changes too often")
+}
+
+// settleDoubt completes the record by what it may not hold yet: tokens that
+// other holders gave up, and advances from a time without the store.
+func (l *Ledger) settleDoubt(ctx context.Context, e *extension, r *record, a *account) {
+	for holder, n := range e.freed {
+		r.Slices[holder] -= n
+	}
+	l.mu.Lock()
+	r.advance(l.holder, a.advanced)
+	l.mu.Unlock()
+	if !e.doubt {
+		return
+	}
+	if e.unbooked == nil {
+		e.unbooked, e.homeErr = l.asker.Unbooked(ctx, e.program)
+	}
+	for holder, n := range e.unbooked {
+		r.advance(holder, n)
+	}
+}
+
+func (l *Ledger) refuse(e *extension, r record, need int, version int64) error {
+	if e.doubt && e.homeErr != nil {
+		return errors.WithType(errors.WithType(e.homeErr, errNoHome), ErrUnavailable)
+	}
+	l.log.Info("A turn was refused, the budget is spent.", "program", e.program, "total", r.Total,
+		"granted", r.sum(), "needed", need, "rowVersion", version, "holderLost", e.lost)
+	return ErrSpent
+}
+
+// write puts the record in place of the row. It returns the conflict if the row
+// has changed.
+func (l *Ledger) write(ctx context.Context, current rows.Row, r *record) (*rows.ConflictError, error) {
+	r.Writer = l.nextWriter()
+	txn := rows.Txn{Expect: []rows.Expectation{{ID: current.ID, Version: current.Version}}}
+	if !r.Spender && r.sum() > spenderShare*r.Total/100 {
+		r.Spender = true
+		txn.Writes = append(txn.Writes, rows.Write{
+			ID:    rows.ID{Table: SpenderTable, Part: current.Part, Key: current.Key},
+			Value: []byte(spenderMark),
+		})
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.WithType(err, ErrUnavailable)
+	}
+	txn.Writes = append(txn.Writes, rows.Write{ID: current.ID, Value: value})
+	_, err = rows.Settle(ctx, l.store, txn)
+	var conflict *rows.ConflictError
+	switch {
+	case err == nil:
+		return nil, nil
+	case errors.As(err, &conflict):
+		return conflict, nil
+	default:
+		// If the write took effect after all, the slice counts as spent.
+		return nil, errors.WithType(err, ErrUnavailable)
+	}
+}
+
+// reclaim asks the other holders for what they don't need, and tells whether
+// one of them wasn't reached.
+func (l *Ledger) reclaim(ctx context.Context, program string, r record, freed map[string]int) (lost bool) {
+	for holder, n := range r.Slices {
+		if holder == l.holder || n == 0 {
+			continue
+		}
+		got, err := l.asker.Release(ctx, holder, program)
+		if err != nil {
+			l.log.Info("A holder of a budget wasn't reached, its slice counts as spent.",
+				"program", program, "holder", holder, "slice", n, "error", err)
+			lost = true
+			continue
+		}
+		freed[holder] += min(got, n)
+	}
+	return lost
+}
+
+// free is what may still be granted of the record.
+func (e *extension) free(r record) int {
+	free := r.Total - r.sum()
+	switch {
+	case e.doubt && e.homeErr != nil:
+		// An advance that nobody can tell of must still fit.
+		free -= maxAdvance(r.Total, e.most)
+	case e.lost:
+		// A holder that has ended most likely spent less than its slice. One turn
+		// beyond the budget is allowed for such doubt.
+		free += e.most
+	}
+	return free
+}
--- a/front/front.go
+++ b/front/front.go
@@ -25,7 +25,6 @@
 	"github.com/buckthorntide/buckthorntide/platform"
 	"github.com/buckthorntide/buckthorntide/relay"
 	"github.com/buckthorntide/buckthorntide/roster"
-	"github.com/buckthorntide/buckthorntide/rows"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/turns"
 	"github.com/buckthorntide/buckthorntide/watch"
@@ -38,11 +37,6 @@
 	// working. The age of keys is counted from before the store was asked, so it
 	// only covers the coarseness of timers.
 	keyMargin = 100 * time.Millisecond
-	// lostInterval is the time between two looks for instances that are gone.
-	lostInterval = 2 * time.Second
-	// lostAfter is how long an instance must have been out of reach to be taken
-	// off the roster. Restarts take less.
-	lostAfter = 8 * time.Second
 	// cacheShare is the part of the memory that turns may take.
 	cacheShare = 8
 	// budgetMemory is how long a program without turns is remembered.
@@ -239,67 +233,6 @@
 	f.direct.Close()
 }
 
-func (f *Front) wholeRoster(found []rows.Row) {
-	names := make(map[string]bool, len(found))
-	for _, r := range found {
-		names[r.Key] = true
-	}
-	f.roster.Keep(names)
-	f.rosterRows(found)
-}
-
-func (f *Front) rosterRows(found []rows.Row) {
-	for _, r := range found {
-		f.rosterRow(r)
-	}
-}
-
-func (f *Front) rosterRow(r rows.Row) {
-	if r.Deleted {
-		f.log.Info("An instance left the roster.", "instance", r.Key, "rowVersion", r.Version)
-		if f.roster.Remove(r.Key) && !f.leaving.Load() {
-			f.group.Go(f.register)
-		}
-		return
-	}
-	e, err := roster.Decode(r)
-	if err != nil {
-		f.log.Warn("An entry of the roster can't be read.", "instance", r.Key, "error", err)
-		return
-	}
-	f.roster.Set(e)
-	f.log.Info("An instance is on the roster.", "instance", e.Name, "address", e.Address, "domain", e.FailureDomain,
-		"start", e.Start, "instances", f.roster.Len(), "rowVersion", r.Version)
-}
-
-// register puts this instance on the roster.
-func (f *Front) register(ctx context.Context) {
-	txn, err := f.roster.Registration()
-	if err != nil {
-		f.log.Error("The instance's entry can't be encoded.", "error", err)
-		return
-	}
-	if _, err := rows.Settle(ctx, f.store, txn); err != nil {
-		f.log.Warn("The instance is not on the roster.", "error", err)
-	}
-}
-
-// removeLost takes instances off the roster that nobody here could reach for
-// long. One that lives registers again.
-func (f *Front) removeLost(ctx context.Context) {
-	for group.Sleep(ctx, lostInterval) {
-		age, known := f.watcher.Age(common.Uptime())
-		if !known || age > time.Duration(f.bounds.Load().ConfigDelay) {
-			// Rather this instance is the one that is cut off.
-			continue
-		}
-		for _, name := range f.roster.Lost(common.Uptime(), lostAfter) {
-			_, err := f.direct.Commit(ctx, f.roster.Removal(name))
-			f.log.Warn("An instance was not reached for long, it is taken off the roster.", "instance", name, "error", err)
-		}
-	}
-}
-
 func (f *Front) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != platform.ReadyPath {
 		http.NotFound(w, r)
