--- a/budget/budget.go
+++ b/budget/budget.go
@@ -100,6 +100,8 @@
 		// avoidUntil is when the store is asked again.
 		avoidUntil time.Duration
 		startedAt  time.Duration
+		// missedStore says that the store was away when the process started.
+		missedStore bool
 		// awayAt is when the store was last found away.
 		awayAt time.Duration
 		home   *home
@@ -212,6 +214,14 @@
 	return common.Uptime() < l.awayAt+l.config.BookTime
 }
 
+// startedAway tells whether the process started a short time ago while the
+// store was away.
+func (l *Ledger) startedAway() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.missedStore && common.Uptime() < l.startedAt+l.config.Forget
+}
+
 func (l *Ledger) avoid() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -280,9 +290,11 @@
 
 // StoreLost notes that the store is away, so that advances may be given.
 func (l *Ledger) StoreLost() {
+	ready := l.home.isReady()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.awayAt = common.Uptime()
+	l.missedStore = l.missedStore || !ready
 }
 
 func (l *Ledger) left(a *account) int {
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -6,7 +6,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -19,9 +18,9 @@
 	doubt    bool
 	unbooked map[string]int
 	homeErr  error
-	// fresh says that this process started while advances of all processes
-	// before it may still matter.
-	fresh bool
+	// forgotten says that this process started while the store was away, so that
+	// advances of processes before it may be known to nobody.
+	forgotten bool
 	// asked is set once the other holders were asked; freed is what they gave
 	// up, lost says that one of them wasn't reached.
 	asked bool
@@ -32,11 +31,11 @@
 // extend takes a further slice of the program's budget from the store.
 func (l *Ledger) extend(ctx context.Context, a *account, program string, total, most int) error {
 	e := &extension{
-		program: program,
-		most:    most,
-		doubt:   l.doubts(),
-		fresh:   common.Uptime() < l.startedAt+l.config.Forget,
-		freed:   make(map[string]int),
+		program:   program,
+		most:      most,
+		doubt:     l.doubts(),
+		forgotten: l.startedAway(),
+		freed:     make(map[string]int),
 	}
 	current := rows.Row{ID: rowID(program)}
 	for range maxTries {
@@ -159,10 +158,13 @@
 	case e.doubt && e.homeErr != nil:
 		// An advance that nobody can tell of must still fit.
 		free -= maxAdvance(r.Total, e.most)
-	case e.fresh && len(r.Advances) == 0:
-		// If all instances died without the store, so did what they knew of
-		// advances; then these may go one turn beyond the budget.
+	case e.forgotten && len(r.Advances) == 0:
+		// Forgotten advances may go one turn beyond the budget.
 		free -= max(0, maxAdvance(r.Total, e.most)-e.most)
+	case e.lost:
+		// A holder that has ended most likely spent less than its slice. One turn
+		// beyond the budget is allowed for such doubt.
+		free += e.most
 	}
 	return free
 }
--- a/budget/home.go
+++ b/budget/home.go
@@ -60,6 +60,12 @@
 	return &home{spenders: make(map[string]bool), advances: make(map[string]*advance)}
 }
 
+func (h *home) isReady() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ready
+}
+
 // WholeSpenders notes a complete read of the table of spenders.
 func (l *Ledger) WholeSpenders(found []rows.Row) {
 	l.SpenderRows(found)
