--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntide/buckthorntide/budget"
@@ -311,7 +313,7 @@
 	}
 	assert.Equal(t, handed, total/4)
 	f.store.SetFault(nil, false)
-	time.Sleep(600 * time.Millisecond)
+	waitForAdvance(t, f.store)
 	other := f.start()
 	for other.Reserve(t.Context(), "p", total, most, 0) == nil {
 		other.Settle("p", most, most)
@@ -397,6 +399,25 @@
 	})
 }
 
+// waitForAdvance waits until an advance stands in the store.
+func waitForAdvance(t *testing.T, store rows.Store) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, part := range budget.Parts() {
+			page, err := store.Range(t.Context(), rows.Query{Table: budget.Table, Part: part})
+			if err != nil {
+				return poll.Error(err)
+			}
+			for _, r := range page.Rows {
+				if bytes.Contains(r.Value, []byte(`"advances"`)) {
+					return poll.Success()
+				}
+			}
+		}
+		return poll.Continue("no advance in the store")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
 func spenders(t *testing.T, store rows.Store) []rows.Row {
 	t.Helper()
 	var found []rows.Row
