--- a/boot/front.go
+++ b/boot/front.go
@@ -16,12 +16,10 @@
 	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/front"
 	"github.com/buckthorntide/buckthorntide/logs"
+	"github.com/buckthorntide/buckthorntide/platform"
 )
 
 const (
-	// frontSettingsVariable names the settings file of an instance on the
-	// platform.
-	frontSettingsVariable = "BUCKTHORNTIDE_BOOT"
 	// memoryLimitShare is the part of the instance's memory, in percent, at which
 	// the collector works harder.
 	memoryLimitShare = 70
@@ -77,7 +75,7 @@
 func (a *App) frontSettingsFile(args []string) (string, error) {
 	flags := flag.NewFlagSet("front", flag.ContinueOnError)
 	flags.SetOutput(a.err)
-	file := flags.String("settings", a.env(frontSettingsVariable), "file of settings, JSON with comments; "+frontSettingsVariable+" names it too")
+	file := flags.String("settings", a.env(platform.SettingsVariable), "file of settings, JSON with comments; "+platform.SettingsVariable+" names it too")
 	err := flags.Parse(args)
 	return *file, errors.Trace(err)
 }
