--- /dev/null
+++ b/budget/main_test.go
@@ -0,0 +1,9 @@
+package budget_test
+
+import (
+	"testing"
+
+	"github.com/buckthorntide/buckthorntide/props"
+)
+
+func TestMain(m *testing.M) { props.Main(m, nil) }
--- a/fleet/bitmap.go
+++ b/fleet/bitmap.go
@@ -17,14 +17,6 @@
 	return b
 }
 
-// BitmapFromBytes returns the set that the bytes encode; missing bytes count
-// as zero.
-func BitmapFromBytes(raw []byte) Bitmap {
-	var b Bitmap
-	copy(b[:], raw)
-	return b
-}
-
 // Set adds a shard.
 func (b *Bitmap) Set(s Shard) { b[s/8] |= 1 << (s % 8) }
 
--- a/limit/main_test.go
+++ b/limit/main_test.go
@@ -1,16 +1,9 @@
 package limit
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/buckthorntide/buckthorntide/props"
 )
 
-// TestMain fixes the seed of random inputs, so that each run has the same.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { props.Main(m, nil) }
--- a/store/client.go
+++ b/store/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/group"
 )
 
 const (
@@ -173,14 +175,7 @@
 // pause waits before a further attempt, longer each time and with jitter.
 func (c *Client) pause(ctx context.Context, attempt int) bool {
 	most := retryPause << attempt
-	timer := time.NewTimer(most/2 + rand.N(most/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return group.Sleep(ctx, most/2+rand.N(most/2))
 }
 
 func (c *Client) attempt(ctx context.Context, call call) answer {
