Rank instances once a list, not on each request, and by one function

Every look at a quota's bucket sorted the whole roster, several times a request; places are now remembered until the list changes, and the instance that a program falls to is found without sorting. Breaking ties between upstreams formatted the time for each comparison. Roster and picker had a rendezvous hash each, the picker two loops over it. An outcome that nobody reported goes.

--- a/front/front.go
+++ b/front/front.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -103,7 +103,7 @@
 	f.mates.Serve(f.ledger)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.mates,
 		watch.Events{Works: f.store.Works, Lost: f.ledger.StoreLost})
-	f.buckets = share.NewBuckets(f.rank, common.Uptime())
+	f.buckets = share.NewBuckets(f.roster.Place, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.mates)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.mates, turns.Config{
 		RowBytes:   settings.RowBytes,
@@ -157,17 +157,6 @@
 	return time.Duration(settings.KeyRevocation) - keyMargin
 }
 
-// rank tells this instance's place among those that a name falls to.
-func (f *Front) rank(name string) (place, members int) {
-	ranked := f.roster.Ranked(name)
-	for i, e := range ranked {
-		if e.Name == f.settings.Instance {
-			return i, len(ranked)
-		}
-	}
-	return len(ranked), len(ranked)
-}
-
 func (f *Front) listen() error {
 	peers, err := peer.NewServer(f.common, f.settings.PeerAddress)
 	if err != nil {
@@ -242,7 +231,7 @@
 		http.Error(w, reason, http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = strings.NewReader("ready\n").WriteTo(w)
+	_, _ = io.WriteString(w, "ready\n")
 }
 
 // notReady tells why the balancer should send no new connections, or returns
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -85,7 +85,7 @@
 // Advance asks the program's home for tokens of its budget. Without the home
 // there are none, since two homes could advance more than the budget.
 func (m *Mates) Advance(ctx context.Context, holder, program string, total, most int) (int, error) {
-	home := m.roster.Ranked(program)[0]
+	home := m.roster.First(program)
 	q := &budget.AdvanceRequest{Holder: holder, Program: program, Total: total, Most: most}
 	if home.Name == m.roster.Self().Name {
 		return m.own.Advance(q.Holder, q.Program, q.Total, q.Most, common.Uptime()), nil
@@ -99,7 +99,7 @@
 
 // Unbooked asks the program's home for its advances.
 func (m *Mates) Unbooked(ctx context.Context, program string) (map[string]int, error) {
-	home := m.roster.Ranked(program)[0]
+	home := m.roster.First(program)
 	if home.Name == m.roster.Self().Name {
 		return m.own.Unbooked(program)
 	}
@@ -113,7 +113,7 @@
 // NoteSpender tells the program's home that much of its budget is taken. A home
 // that isn't reached learns it from the store.
 func (m *Mates) NoteSpender(ctx context.Context, program string) {
-	home := m.roster.Ranked(program)[0]
+	home := m.roster.First(program)
 	if home.Name == m.roster.Self().Name {
 		m.own.NoteSpender(program)
 		return
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,11 +3,12 @@
 package pick
 
 import (
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/site"
 )
 
@@ -54,10 +55,8 @@
 	Answered Outcome = iota
 	// Busy upstreams refused for lack of room.
 	Busy
-	// Broken upstreams broke off after the request was sent.
+	// Broken upstreams could not be sent the request or broke off.
 	Broken
-	// Unreachable upstreams could not be sent the request.
-	Unreachable
 	// Moved upstreams no longer have their address.
 	Moved
 	// Abandoned requests were given up by this side.
@@ -144,7 +143,7 @@
 			p.begin(c.upstream, need)
 			return c.upstream
 		}
-		found = append(found[:i], found[i+1:]...)
+		found = slices.Delete(found, i, i+1)
 	}
 	return nil
 }
@@ -167,7 +166,7 @@
 		if r.failures >= failuresToRest {
 			r.rest(r.failures-failuresToRest, now)
 		}
-	case Unreachable, Moved:
+	case Moved:
 		r.failures++
 		r.rest(r.failures-1, now)
 	case Abandoned:
@@ -239,7 +238,7 @@
 	pool := view.Pool(need.Service)
 	found := make([]candidate, 0, len(pool))
 	for _, u := range pool {
-		if u.State != site.Ready || view.DomainOut(u.FailureDomain) || contains(need.Tried, u.ID) {
+		if u.State != site.Ready || view.DomainOut(u.FailureDomain) || slices.Contains(need.Tried, u.ID) {
 			continue
 		}
 		r := p.record(u.ID)
@@ -276,7 +275,7 @@
 	case need.Object == "":
 		return least
 	}
-	i := rendezvous(found, need.Object)
+	i := rendezvous(found, need.Object, func(candidate) bool { return true })
 	if !found[i].cold && found[i].fill <= found[least].fill+objectSlack {
 		return i
 	}
@@ -287,26 +286,17 @@
 // it falls by its name, which is the same place from every instance, unless
 // that is much fuller than the others.
 func (p *Picker) chooseForProgram(found []candidate, least int, need Need) int {
-	if i := indexOf(found, p.home(need.Program, need.Now)); i >= 0 {
-		c := found[i]
-		if !c.cold && (c.fill < fullFill || c.fill <= found[least].fill+homeSlack) {
-			return i
-		}
+	home := p.home(need.Program, need.Now)
+	i := slices.IndexFunc(found, func(c candidate) bool { return c.upstream.ID == home })
+	if i >= 0 && !found[i].cold && (found[i].fill < fullFill || found[i].fill <= found[least].fill+homeSlack) {
+		return i
 	}
 	limit := max(roomyFill, boundedLoad*meanFill(found))
-	best, most := -1, uint64(0)
-	for i, c := range found {
-		if c.cold || c.fill > limit {
-			continue
-		}
-		if w := weight(c.upstream.ID, need.Program); best < 0 || w > most {
-			best, most = i, w
-		}
-	}
-	if best < 0 {
+	i = rendezvous(found, need.Program, func(c candidate) bool { return !c.cold && c.fill <= limit })
+	if i < 0 {
 		return least
 	}
-	return best
+	return i
 }
 
 func meanFill(found []candidate) float64 {
@@ -321,61 +311,40 @@
 // cold one. Equal ones are told apart by the request, so that instances that
 // see the same don't all take the first.
 func emptiest(found []candidate, need Need) int {
+	salt := need.Program + need.Object + need.Domain + strconv.FormatInt(int64(need.Now), 10)
 	best := 0
 	for i := 1; i < len(found); i++ {
-		if less(found[i], found[best], need) {
+		if less(found[i], found[best], need.Domain, salt) {
 			best = i
 		}
 	}
 	return best
 }
 
-func less(a, b candidate, need Need) bool {
+func less(a, b candidate, domain, salt string) bool {
 	if a.cold != b.cold {
 		return b.cold
 	}
 	if a.fill != b.fill {
 		return a.fill < b.fill
 	}
-	if aNear, bNear := a.upstream.FailureDomain == need.Domain, b.upstream.FailureDomain == need.Domain; aNear != bNear {
+	if aNear, bNear := a.upstream.FailureDomain == domain, b.upstream.FailureDomain == domain; aNear != bNear {
 		return aNear
 	}
-	salt := need.Program + need.Object + need.Domain + need.Now.String()
-	return weight(a.upstream.ID, salt) > weight(b.upstream.ID, salt)
+	return common.Score(a.upstream.ID, salt) > common.Score(b.upstream.ID, salt)
 }
 
-func rendezvous(found []candidate, name string) int {
-	best, most := 0, uint64(0)
-	for i, c := range found {
-		if w := weight(c.upstream.ID, name); w >= most {
-			best, most = i, w
-		}
-	}
-	return best
-}
-
-func weight(id, name string) uint64 {
-	var d xxhash.Digest
-	_, _ = d.WriteString(id)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
-
-func indexOf(found []candidate, id string) int {
+// rendezvous returns the index of the candidate that the name falls to among
+// those that fit, or -1.
+func rendezvous(found []candidate, name string, fits func(c candidate) bool) int {
+	best, most := -1, uint64(0)
 	for i, c := range found {
-		if c.upstream.ID == id {
-			return i
+		if !fits(c) {
+			continue
 		}
-	}
-	return -1
-}
-
-func contains(ids []string, id string) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
+		if s := common.Score(c.upstream.ID, name); best < 0 || s > most {
+			best, most = i, s
 		}
 	}
-	return false
+	return best
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -38,7 +38,7 @@
 		{name: "cold with allowance", change: func(us []*site.Upstream) { us[0].ColdUntil = time.Hour }, cold: true, want: "i-0"},
 		{
 			name:   "doubtful rather than none",
-			before: func(p *pick.Picker) { p.Done("i-0", pick.Unreachable, time.Minute) },
+			before: func(p *pick.Picker) { p.Done("i-0", pick.Moved, time.Minute) },
 			want:   "i-0",
 		},
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,8 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -37,6 +36,8 @@
 		entries map[string]Entry
 		others  []Entry
 		failing map[string]failure
+		// places are this instance's places by name, until the list changes.
+		places map[string]int
 	}
 
 	failure struct {
@@ -48,7 +49,12 @@
 
 // NewRoster returns a roster that knows this instance alone.
 func NewRoster(self Entry) *Roster {
-	return &Roster{self: self, entries: map[string]Entry{self.Name: self}, failing: make(map[string]failure)}
+	return &Roster{
+		self:    self,
+		entries: map[string]Entry{self.Name: self},
+		failing: make(map[string]failure),
+		places:  make(map[string]int),
+	}
 }
 
 // Self returns this instance's entry.
@@ -113,6 +119,7 @@
 		}
 	}
 	slices.SortFunc(r.others, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	clear(r.places)
 }
 
 // Others returns the other instances by name. The slice is shared and must not
@@ -148,11 +155,43 @@
 		ranked = append(ranked, e)
 	}
 	slices.SortFunc(ranked, func(a, b Entry) int {
-		return cmp.Compare(xxhash.Sum64String(b.Name+"\x00"+name), xxhash.Sum64String(a.Name+"\x00"+name))
+		return cmp.Compare(common.Score(b.Name, name), common.Score(a.Name, name))
 	})
 	return ranked
 }
 
+// First returns the instance that the name falls to.
+func (r *Roster) First(name string) Entry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	first, most := r.self, common.Score(r.self.Name, name)
+	for _, e := range r.others {
+		if s := common.Score(e.Name, name); s > most {
+			first, most = e, s
+		}
+	}
+	return first
+}
+
+// Place returns this instance's place in the order in which the name falls to
+// instances, and how many there are. It remembers the places of all names, so
+// that requests don't rank the whole list.
+func (r *Roster) Place(name string) (place, members int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	place, ok := r.places[name]
+	if !ok {
+		own := common.Score(r.self.Name, name)
+		for _, e := range r.others {
+			if common.Score(e.Name, name) > own {
+				place++
+			}
+		}
+		r.places[name] = place
+	}
+	return place, len(r.entries)
+}
+
 // Reached notes that a call to the instance was answered.
 func (r *Roster) Reached(name string) {
 	r.mu.Lock()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -31,7 +31,12 @@
 	one := newRoster(t, "a", "b", "c", "d")
 	other := newRoster(t, "c", "d", "a", "b")
 	for _, name := range []string{"p1", "p2", "p3"} {
-		assert.DeepEqual(t, names(one.Ranked(name)), names(other.Ranked(name)))
+		ranked := names(one.Ranked(name))
+		assert.DeepEqual(t, ranked, names(other.Ranked(name)))
+		assert.Equal(t, one.First(name).Name, ranked[0])
+		place, members := one.Place(name)
+		assert.Equal(t, ranked[place], "a")
+		assert.Equal(t, members, len(ranked))
 	}
 }
 
@@ -90,3 +95,17 @@
 	assert.Assert(t, !r.Remove("b"))
 	assert.Equal(t, r.Len(), 1)
 }
+
+func TestPlaceFollowsTheList(t *testing.T) {
+	r := newRoster(t, "a", "b", "c", "d")
+	for _, name := range []string{"p1", "p2", "p3"} {
+		r.Place(name)
+	}
+	r.Remove("b")
+	r.Set(roster.Entry{Name: "e", Start: 1})
+	for _, name := range []string{"p1", "p2", "p3"} {
+		place, members := r.Place(name)
+		assert.Equal(t, names(r.Ranked(name))[place], "a")
+		assert.Equal(t, members, 4)
+	}
+}
--- a/share/share.go
+++ b/share/share.go
@@ -58,9 +58,9 @@
 	// Buckets are the instance's parts of all quotas. It is safe for concurrent
 	// use; times are on the clock of common.Uptime.
 	Buckets struct {
-		// Rank returns the instance's place among the name's holders and the
-		// number of instances.
-		rank    func(name string) (place, members int)
+		// place returns the instance's place in the order in which a name falls to
+		// instances, and how many there are.
+		place   func(name string) (place, members int)
 		started time.Duration
 		mu      sync.Mutex
 		buckets map[string]*bucket
@@ -94,11 +94,11 @@
 	return Quota{Name: name, Rate: rate + max(0, burst-at)/window.Seconds(), Burst: at}
 }
 
-// NewBuckets returns an instance's buckets. Rank tells the instance's place in
-// the order in which a name falls to instances, and how many there are. Buckets
-// fill from the start of the instance.
-func NewBuckets(rank func(name string) (place, members int), started time.Duration) *Buckets {
-	return &Buckets{rank: rank, started: started, buckets: make(map[string]*bucket)}
+// NewBuckets returns an instance's buckets. Place tells the instance's place
+// in the order in which a name falls to instances, and how many there are.
+// Buckets fill from the start of the instance.
+func NewBuckets(place func(name string) (place, members int), started time.Duration) *Buckets {
+	return &Buckets{place: place, started: started, buckets: make(map[string]*bucket)}
 }
 
 // Holders returns how many instances the quota is divided among.
@@ -218,7 +218,7 @@
 
 // divide sets the instance's part of the quota.
 func (b *Buckets) divide(k *bucket, q Quota) {
-	place, members := b.rank(q.Name)
+	place, members := b.place(q.Name)
 	holders := q.Holders(members)
 	if place >= holders {
 		k.rate, k.burst = 0, 0
