--- a/gate/exchange.go
+++ b/gate/exchange.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
+	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -114,7 +115,7 @@
 	if name == "" {
 		name = x.call.ID
 	}
-	at := int(hash(name) % uint64(total))
+	at := int(xxhash.Sum64String(name) % uint64(total))
 	for _, t := range targets {
 		at -= max(0, t.Weight)
 		if at < 0 {
@@ -236,7 +237,7 @@
 		x.reserved = true
 		return nil
 	}
-	if isSpent(err) {
+	if errors.Is(err, budget.ErrSpent) {
 		return &refusal{status: http.StatusPaymentRequired, reason: "the program's budget is spent"}
 	}
 	return refuseUnready("the program's budget can't be read: " + err.Error())
@@ -247,7 +248,7 @@
 	if x.reserved {
 		x.gate.Budgets.Settle(x.programKey(), x.call.MaxTokens, x.tokens)
 	}
-	if !x.record.ran {
+	if x.record.runs == 0 {
 		x.returnQuota()
 	}
 }
@@ -262,7 +263,7 @@
 
 // programKey names the program among those of all teams.
 func (x *exchange) programKey() string {
-	return strings.Join([]string{x.teamName(), x.call.Program}, "/")
+	return x.teamName() + "/" + x.call.Program
 }
 
 func (x *exchange) teamName() string {
--- a/gate/forward.go
+++ b/gate/forward.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/relay"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
 )
@@ -26,6 +26,8 @@
 	// maxBufferedAnswer is how much of a plain answer is read before it is
 	// passed on; shorter ones are passed on only when they are whole.
 	maxBufferedAnswer = 1 << 20
+	// maxDiscard bounds what is read of a refusal's body to reuse its connection.
+	maxDiscard = 16 << 10
 )
 
 // verdicts of one attempt.
@@ -44,17 +46,9 @@
 type (
 	verdict int
 
-	// oneShot hides the body's type, so that the HTTP library can't send it
-	// again on another connection.
-	oneShot struct{ io.Reader }
-
 	// delivery is the state of an answer over all attempts.
 	delivery struct {
 		tried []string
-		// runs counts the attempts that may have run.
-		runs int
-		// sends counts all attempts that reached an upstream.
-		sends int
 		// started says that the head of the answer has been passed on.
 		started bool
 		// lastEvent is the last event that the caller has.
@@ -104,7 +98,7 @@
 		return &refusal{reason: "the caller left", broken: true}
 	case time.Until(x.limitOf(d)) < leastLeft:
 		return &refusal{status: http.StatusGatewayTimeout, reason: "no time is left"}
-	case d.runs >= x.route.MaxAttempts || d.sends >= maxSends:
+	case x.record.runs >= x.route.MaxAttempts || x.record.attempts >= maxSends:
 		return &refusal{status: http.StatusBadGateway, reason: "no attempts are left"}
 	default:
 		return nil
@@ -127,7 +121,7 @@
 		x.abort()
 	case d.failure != nil:
 		x.writePlain(d.failure)
-	case d.runs == 0:
+	case x.record.runs == 0:
 		x.refuse(refuseFull(no.reason))
 	case no.status == http.StatusServiceUnavailable:
 		// The request may have run, so nothing may be promised.
@@ -223,12 +217,9 @@
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
-	if len(x.body) > 0 || x.r.ContentLength != 0 {
-		req.Body = io.NopCloser(oneShot{bytes.NewReader(x.body)})
+	if len(x.body) > 0 {
+		req.Body = relay.OneShot(x.body)
 		req.ContentLength = int64(len(x.body))
-		if len(x.body) == 0 {
-			req.Body = http.NoBody
-		}
 	}
 	return req.WithContext(ctx)
 }
@@ -240,12 +231,10 @@
 	}
 	x.gate.Picker.Done(u.ID, outcome, common.Uptime())
 	x.note(u, "error: "+err.Error())
-	d.sends++
 	if !wrote {
 		return notRun
 	}
-	d.runs++
-	x.record.ran = true
+	x.record.runs++
 	return mayHaveRun
 }
 
@@ -256,12 +245,10 @@
 	if answer.HasLoad {
 		x.gate.Picker.Report(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
 	}
-	d.sends++
 	if answer.RequestID != "" && answer.RequestID != x.call.ID {
 		x.gate.Picker.Done(u.ID, pick.Broken, now)
 		x.note(u, "answer to another request: "+answer.RequestID)
-		d.runs++
-		x.record.ran = true
+		x.record.runs++
 		return mayHaveRun
 	}
 	if answer.NotRun {
@@ -274,17 +261,13 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscard))
 		return notRun
 	}
-	d.runs++
-	x.record.ran = true
+	x.record.runs++
 	if x.route.Kind == site.Stream && resp.StatusCode == http.StatusOK {
 		return x.passStream(u, d, resp, timer)
 	}
 	return x.passPlain(u, d, resp)
 }
 
-// maxDiscard bounds what is read of a refusal's body to reuse its connection.
-const maxDiscard = 16 << 10
-
 // note adds to the trail of upstreams in the request's log line.
 func (x *exchange) note(u *site.Upstream, what string) {
 	if x.record.trail != "" {
--- a/gate/plain.go
+++ b/gate/plain.go
@@ -40,9 +40,7 @@
 	if x.call.Method != http.MethodHead && bodyAllowed(answer.status) {
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	}
-	x.record.status = answer.status
-	x.record.first = time.Since(x.start)
-	x.w.WriteHeader(answer.status)
+	x.sendHead(answer.status)
 	if _, err := x.w.Write(answer.body); err != nil {
 		x.record.reason = "the caller was gone: " + err.Error()
 	}
@@ -51,9 +49,7 @@
 // passLong passes on an answer that is too large to be held whole.
 func (x *exchange) passLong(answer *plainAnswer, resp *http.Response) verdict {
 	x.gate.Codec.WriteAnswer(x.w.Header(), answer.header)
-	x.record.status = answer.status
-	x.record.first = time.Since(x.start)
-	x.w.WriteHeader(answer.status)
+	x.sendHead(answer.status)
 	_, err := x.w.Write(answer.body)
 	if err == nil {
 		_, err = io.Copy(x.w, resp.Body)
@@ -65,6 +61,13 @@
 	return done
 }
 
+// sendHead begins the answer with the fields that are set.
+func (x *exchange) sendHead(status int) {
+	x.record.status = status
+	x.record.first = time.Since(x.start)
+	x.w.WriteHeader(status)
+}
+
 func bodyAllowed(status int) bool {
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/gate/record.go
+++ b/gate/record.go
@@ -17,14 +17,15 @@
 	// record collects what the log line of a request tells.
 	record struct {
 		// age is that of the knowledge of routes and keys.
-		age      time.Duration
-		status   int
-		reason   string
+		age    time.Duration
+		status int
+		reason string
+		// attempts counts the upstreams that were asked, runs those that have run
+		// the request, or may have.
 		attempts int
+		runs     int
 		// trail names the upstreams that were asked, with what each one told.
 		trail string
-		// ran says that an upstream has run the request, or may have.
-		ran   bool
 		first time.Duration
 		// events were passed on.
 		events int
@@ -80,9 +81,9 @@
 		m.first.Update(r.first.Milliseconds())
 	}
 	switch {
-	case r.cut, r.status >= http.StatusInternalServerError && r.ran:
+	case r.cut, r.status >= http.StatusInternalServerError && r.runs > 0:
 		m.failed.Inc(1)
-	case r.status >= http.StatusBadRequest && !r.ran:
+	case r.status >= http.StatusBadRequest && r.runs == 0:
 		m.refused.Inc(1)
 	}
 }
--- a/gate/refusal.go
+++ b/gate/refusal.go
@@ -4,10 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/juju/errors"
-
-	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/share"
 )
 
@@ -61,7 +57,6 @@
 func (x *exchange) refuse(no *refusal) {
 	x.record.status, x.record.reason = no.status, no.reason
 	if no.broken {
-		x.record.reason = no.reason
 		x.abort()
 		return
 	}
@@ -79,7 +74,3 @@
 func quotaRetry(q share.Quota) time.Duration {
 	return min(max(quotaRetryTokens*q.Wait(), minQuotaRetry), maxQuotaRetry)
 }
-
-func isSpent(err error) bool { return errors.Is(err, budget.ErrSpent) }
-
-func hash(text string) uint64 { return xxhash.Sum64String(text) }
--- a/gate/stream.go
+++ b/gate/stream.go
@@ -51,9 +51,7 @@
 	x.gate.Codec.WriteAnswer(x.w.Header(), resp.Header)
 	// The length of a stream that may go on elsewhere isn't known.
 	x.w.Header().Del("Content-Length")
-	x.record.status = resp.StatusCode
-	x.record.first = time.Since(x.start)
-	x.w.WriteHeader(resp.StatusCode)
+	x.sendHead(resp.StatusCode)
 }
 
 // passEvent hands one event to the caller. It returns false if the caller is
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -142,8 +142,10 @@
 	}, nil
 }
 
-// oneShot hides the body's type, so that the HTTP library can't send it again
-// on another connection.
+// OneShot returns a request's body whose type is hidden, so that the HTTP
+// library can't send it again on another connection.
+func OneShot(body []byte) io.ReadCloser { return io.NopCloser(oneShot{bytes.NewReader(body)}) }
+
 type oneShot struct{ io.Reader }
 
 func newPlainRequest(ctx context.Context, q PlainRequest) (*http.Request, error) {
@@ -151,7 +153,7 @@
 	if q.Query != "" {
 		url += "?" + q.Query
 	}
-	req, err := http.NewRequestWithContext(ctx, q.Method, url, oneShot{bytes.NewReader(q.Body)})
+	req, err := http.NewRequestWithContext(ctx, q.Method, url, OneShot(q.Body))
 	if err != nil {
 		return nil, err
 	}
