--- a/detour/detour.go
+++ b/detour/detour.go
@@ -120,6 +120,12 @@
 		first, second = through, own
 	}
 	launch(first)
+	help := func() {
+		if second != nil {
+			launch(second)
+			second = nil
+		}
+	}
 	hedge := time.NewTimer(hedgeAfter)
 	defer hedge.Stop()
 	var failed result
@@ -131,15 +137,9 @@
 				return r
 			}
 			failed = worse(failed, r)
-			if second != nil {
-				launch(second)
-				second = nil
-			}
+			help()
 		case <-hedge.C:
-			if second != nil {
-				launch(second)
-				second = nil
-			}
+			help()
 		}
 		if open == 0 {
 			return failed
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -193,23 +193,23 @@
 	return rows.Page{}, result
 }
 
-// Find asks all instances for turns.
-func (m *Mates) Find(ctx context.Context, ids []string) ([]turns.Turn, bool) {
-	others := m.roster.Others()
+// Find asks all instances for a turn.
+func (m *Mates) Find(ctx context.Context, id string) (*turns.Turn, bool) {
 	var mu sync.Mutex
-	var found []turns.Turn
+	var found *turns.Turn
 	all := true
 	var wg sync.WaitGroup
-	for _, e := range others {
+	for _, e := range m.roster.Others() {
 		wg.Go(func() {
-			reply, err := call(ctx, m, turns.Find, e, &turns.FindRequest{IDs: ids}, moveWait)
+			reply, err := call(ctx, m, turns.Find, e, &turns.FindRequest{ID: id}, moveWait)
 			mu.Lock()
 			defer mu.Unlock()
-			if err != nil {
+			switch {
+			case err != nil:
 				all = false
-				return
+			case reply.Turn != nil:
+				found = reply.Turn
 			}
-			found = append(found, reply.Turns...)
 		})
 	}
 	wg.Wait()
--- a/mates/serve.go
+++ b/mates/serve.go
@@ -36,7 +36,7 @@
 			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, now), Tight: buckets.Tight(q.Quota, now)}, nil
 		}),
 		turns.Find.Handle(func(_ context.Context, q *turns.FindRequest) (*turns.FindReply, error) {
-			return &turns.FindReply{Turns: keeper.Held(q.IDs)}, nil
+			return &turns.FindReply{Turn: keeper.Held(q.ID)}, nil
 		}),
 		News.Handle(func(_ context.Context, q *NewsRequest) (*NewsReply, error) {
 			return &NewsReply{News: watcher.Tell(q.Known)}, nil
--- a/turns/keeper.go
+++ b/turns/keeper.go
@@ -26,9 +26,9 @@
 type (
 	// Mates are the other instances.
 	Mates interface {
-		// Find asks all instances for turns. The second result tells whether
-		// every one answered.
-		Find(ctx context.Context, ids []string) ([]Turn, bool)
+		// Find asks all instances for a turn, nil where none has it. The second
+		// result tells whether every one answered.
+		Find(ctx context.Context, id string) (*Turn, bool)
 	}
 
 	// Config has the sizes of a keeper.
@@ -82,15 +82,10 @@
 	return nil
 }
 
-// Held returns those of the turns that are in this instance's memory.
-func (k *Keeper) Held(ids []string) []Turn {
-	var found []Turn
-	for _, id := range ids {
-		if t, ok := k.cache.get(id); ok {
-			found = append(found, *t)
-		}
-	}
-	return found
+// Held returns the turn if it is in this instance's memory, or nil.
+func (k *Keeper) Held(id string) *Turn {
+	t, _ := k.cache.get(id)
+	return t
 }
 
 // Chain returns the turns of the team up to the one of the ID, the oldest
@@ -130,7 +125,7 @@
 	t, err := k.read(ctx, id, quickWait)
 	if err != nil {
 		var all bool
-		t, all = k.ask(ctx, id)
+		t, all = k.mates.Find(ctx, id)
 		if t == nil && errors.Is(err, ErrNoTurn) && all {
 			return nil, err
 		}
@@ -145,32 +140,16 @@
 	return t, nil
 }
 
-// ask looks for the turn in the memory of the other instances. The second
-// result tells whether all of them answered.
-func (k *Keeper) ask(ctx context.Context, id string) (*Turn, bool) {
-	found, all := k.mates.Find(ctx, []string{id})
-	for i := range found {
-		if found[i].ID == id {
-			return &found[i], true
-		}
-	}
-	return nil, all
-}
-
 func (k *Keeper) read(ctx context.Context, id string, wait time.Duration) (*Turn, error) {
-	page, err := k.readOnce(ctx, id, wait)
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	page, err := k.store.Range(ctx, query(id))
 	if err != nil {
 		return nil, errors.WithType(err, ErrUncertain)
 	}
 	return decode(id, page.Rows)
 }
 
-func (k *Keeper) readOnce(ctx context.Context, id string, wait time.Duration) (rows.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	return k.store.Range(ctx, query(id))
-}
-
 // run drops turns that can no longer be continued.
 func (k *Keeper) run(ctx context.Context) {
 	for group.Sleep(ctx, expireInterval) {
--- a/turns/message.go
+++ b/turns/message.go
@@ -3,14 +3,14 @@
 import "github.com/buckthorntide/buckthorntide/peer"
 
 type (
-	// FindRequest asks an instance for turns that it holds.
+	// FindRequest asks an instance for a turn that it holds.
 	FindRequest struct {
-		IDs []string `json:"ids"`
+		ID string `json:"id"`
 	}
 
-	// FindReply has the turns that were found, in any order.
+	// FindReply has the turn, or nil.
 	FindReply struct {
-		Turns []Turn `json:"turns"`
+		Turn *Turn `json:"turn"`
 	}
 )
 
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -19,7 +19,7 @@
 // alone stands for a fleet of one instance, or for others out of reach.
 type alone struct{ reached bool }
 
-func (a alone) Find(context.Context, []string) ([]turns.Turn, bool) { return nil, a.reached }
+func (a alone) Find(context.Context, string) (*turns.Turn, bool) { return nil, a.reached }
 
 func newKeeper(t *testing.T, store rows.Store, mates turns.Mates) *turns.Keeper {
 	t.Helper()
