Tell an uncertain turn from a missing one

Found while reading the change: ErrUncertain was laid over the error from below, which then matched ErrNoTurn too, and the gate asks for that first. So a turn that the store didn't show while an instance was out of reach was answered 404 instead of 503. In the same way an outcome in doubt, refused on a later try, matched ErrNotDone. Both now stand for themselves; the tests fail without it.

--- a/rows/rows_test.go
+++ b/rows/rows_test.go
@@ -87,6 +87,18 @@
 	}
 }
 
+// A call that may have taken effect is not refused, whatever came later.
+func TestSettleKeepsADoubt(t *testing.T) {
+	store := rows.NewMemory()
+	store.SetFault(rows.ErrUnknown, false)
+	time.AfterFunc(10*time.Millisecond, func() { store.SetFault(rows.ErrNotDone, false) })
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := rows.Settle(ctx, store, write("ours", 0))
+	assert.Assert(t, errors.Is(err, rows.ErrUnknown), "%v", err)
+	assert.Assert(t, !errors.Is(err, rows.ErrNotDone), "%v", err)
+}
+
 func TestFeed(t *testing.T) {
 	store := rows.NewMemory()
 	first, err := store.Commit(t.Context(), write("a", 0))
--- a/rows/settle.go
+++ b/rows/settle.go
@@ -47,7 +47,7 @@
 
 func settleError(err error, doubtful bool) error {
 	if doubtful {
-		return errors.WithType(err, ErrUnknown)
+		return errors.Annotate(ErrUnknown, err.Error())
 	}
 	return err
 }
--- a/turns/keeper.go
+++ b/turns/keeper.go
@@ -110,7 +110,7 @@
 	for _, err := range failed {
 		if err != nil {
 			// The last turn exists, so its ancestors do.
-			return nil, errors.WithType(err, ErrUncertain)
+			return nil, errors.Annotate(ErrUncertain, err.Error())
 		}
 	}
 	return chain, nil
@@ -134,7 +134,8 @@
 		}
 	}
 	if t == nil {
-		return nil, errors.WithType(err, ErrUncertain)
+		// The cause's own kind must not be told as well: it may be ErrNoTurn.
+		return nil, errors.Annotate(ErrUncertain, err.Error())
 	}
 	k.cache.put(t, common.Uptime()+t.Retention)
 	return t, nil
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -77,6 +77,7 @@
 	k := newKeeper(t, rows.NewMemory(), alone{})
 	_, err := k.Chain(t.Context(), "team", "e")
 	assert.Assert(t, errors.Is(err, turns.ErrUncertain), "%v", err)
+	assert.Assert(t, !errors.Is(err, turns.ErrNoTurn), "%v", err)
 }
 
 // An answer may only end once its turn outlives every instance.
