Change a budget's row by one loop

Taking a slice and booking an advance each read, changed and wrote the row until no other instance was faster. What the other holders give up is now taken off the row at hand instead of reading it again.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -331,21 +331,9 @@
 		total := turns * most
 		f := newFleet(0, time.Minute)
 		handed := 0
-		spend := func(l *budget.Ledger) {
-			for {
-				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
-				err := l.Reserve(ctx, "p", total, most, 0)
-				cancel()
-				if err != nil {
-					return
-				}
-				l.Settle("p", most, most)
-				handed += most
-			}
-		}
 		f.store.SetFault(rows.ErrNotDone, false)
 		first := f.start()
-		spend(first)
+		handed += spend(t, first, total, most)
 		// Closed before the store is back, it books nothing.
 		f.kill(first)
 		first.Close()
@@ -358,7 +346,7 @@
 		}
 		f.store.SetFault(nil, false)
 		f.home.WholeSpenders(nil)
-		spend(next)
+		handed += spend(t, next, total, most)
 		assert.Assert(t, handed <= total+most, "%d of %d", handed, total)
 		f.close()
 	}
@@ -399,6 +387,23 @@
 	})
 }
 
+// spend runs turns at their most until the ledger refuses one, and returns the
+// tokens that they handed out.
+func spend(t *testing.T, l *budget.Ledger, total, most int) int {
+	t.Helper()
+	handed := 0
+	for {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+		err := l.Reserve(ctx, "p", total, most, 0)
+		cancel()
+		if err != nil {
+			return handed
+		}
+		l.Settle("p", most, most)
+		handed += most
+	}
+}
+
 // waitForAdvance waits until an advance stands in the store.
 func waitForAdvance(t *testing.T, store rows.Store) {
 	t.Helper()
@@ -436,18 +441,6 @@
 		total := turns * most
 		f := newFleet(0, time.Minute)
 		handed := 0
-		spend := func(l *budget.Ledger) {
-			for {
-				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
-				err := l.Reserve(ctx, "p", total, most, 0)
-				cancel()
-				if err != nil {
-					return
-				}
-				l.Settle("p", most, most)
-				handed += most
-			}
-		}
 		// One slice is taken before the store goes away.
 		first := f.start()
 		assert.NilError(t, first.Reserve(t.Context(), "p", total, most, 0))
@@ -455,11 +448,11 @@
 		handed += most
 		known := spenders(t, f.store)
 		f.store.SetFault(rows.ErrNotDone, false)
-		spend(first)
+		handed += spend(t, first, total, most)
 		second := f.start()
 		second.WholeSpenders(known)
 		f.home = second
-		spend(second)
+		handed += spend(t, second, total, most)
 		assert.Assert(t, handed <= total+most, "%d of %d", handed, total)
 		f.close()
 	}
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -37,40 +37,54 @@
 		forgotten: l.startedAway(),
 		freed:     make(map[string]int),
 	}
+	known, grant := false, 0
+	r, err := l.update(ctx, program, total, func(r *record, version int64) error {
+		l.settleDoubt(ctx, e, r, a)
+		need := most - l.left(a)
+		if e.free(r) < need && !e.asked && version != 0 {
+			l.reclaim(ctx, e, r)
+		}
+		if e.free(r) < need {
+			return l.refuse(e, r, need, version)
+		}
+		known = r.Spender
+		grant = max(need, min(e.free(r)/2, sliceTurns*most))
+		r.Slices[l.holder] += grant
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if r.Spender && !known {
+		l.asker.NoteSpender(ctx, program)
+	}
+	l.grant(a, grant, r.Advances[l.holder])
+	return nil
+}
+
+// update changes the program's row, anew whenever another instance was faster,
+// and returns it as it stands then. An error of the change ends it.
+func (l *Ledger) update(ctx context.Context, program string, total int, change func(r *record, version int64) error) (*record, error) {
 	current := rows.Row{ID: rowID(program)}
 	for range maxTries {
 		r, err := decode(current, total)
 		if err != nil {
 			l.log.Error("A program's budget can't be read.", "program", program, "error", err)
-			return errors.WithType(err, ErrUnavailable)
+			return nil, errors.WithType(err, ErrUnavailable)
 		}
-		l.settleDoubt(ctx, e, &r, a)
-		need := most - l.left(a)
-		if e.free(r) < need && !e.asked && current.Version != 0 {
-			e.asked = true
-			e.lost = l.reclaim(ctx, program, r, e.freed)
-			continue
+		if err := change(r, current.Version); err != nil {
+			return nil, err
 		}
-		if e.free(r) < need {
-			return l.refuse(e, r, need, current.Version)
-		}
-		known := r.Spender
-		grant := max(need, min(e.free(r)/2, sliceTurns*most))
-		r.Slices[l.holder] += grant
-		conflict, err := l.write(ctx, current, &r)
+		conflict, err := l.write(ctx, current, r)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if conflict == nil {
-			if r.Spender && !known {
-				l.asker.NoteSpender(ctx, program)
-			}
-			l.grant(a, grant, r.Advances[l.holder])
-			return nil
+			return r, nil
 		}
 		current = conflict.Row(current.ID)
 	}
-	return errors.Annotate(ErrUnavailable, "row changes too often")
+	return nil, errors.Annotate(ErrUnavailable, "row changes too often")
 }
 
 // settleDoubt completes the record by what it may not hold yet: tokens that
@@ -93,7 +107,7 @@
 	}
 }
 
-func (l *Ledger) refuse(e *extension, r record, need int, version int64) error {
+func (l *Ledger) refuse(e *extension, r *record, need int, version int64) error {
 	if e.doubt && e.homeErr != nil {
 		return errors.WithType(errors.WithType(e.homeErr, errNoHome), ErrUnavailable)
 	}
@@ -132,27 +146,28 @@
 	}
 }
 
-// reclaim asks the other holders for what they don't need, and tells whether
+// reclaim asks the other holders for what they don't need, and notes whether
 // one of them wasn't reached.
-func (l *Ledger) reclaim(ctx context.Context, program string, r record, freed map[string]int) (lost bool) {
+func (l *Ledger) reclaim(ctx context.Context, e *extension, r *record) {
+	e.asked = true
 	for holder, n := range r.Slices {
 		if holder == l.holder || n == 0 {
 			continue
 		}
-		got, err := l.asker.Release(ctx, holder, program)
+		got, err := l.asker.Release(ctx, holder, e.program)
 		if err != nil {
 			l.log.Info("A holder of a budget wasn't reached, its slice counts as spent.",
-				"program", program, "holder", holder, "slice", n, "error", err)
-			lost = true
+				"program", e.program, "holder", holder, "slice", n, "error", err)
+			e.lost = true
 			continue
 		}
-		freed[holder] += min(got, n)
+		e.freed[holder] = min(got, n)
+		r.Slices[holder] -= e.freed[holder]
 	}
-	return lost
 }
 
 // free is what may still be granted of the record.
-func (e *extension) free(r record) int {
+func (e *extension) free(r *record) int {
 	free := r.Total - r.sum()
 	switch {
 	case e.doubt && e.homeErr != nil:
--- a/budget/home.go
+++ b/budget/home.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/rows"
@@ -160,35 +158,18 @@
 }
 
 func (l *Ledger) book(ctx context.Context, program string, a advance) bool {
-	err := l.tryBook(ctx, program, a)
-	if err != nil {
-		l.log.Debug("An advance is not in the store yet.", "program", program, "error", err)
-	}
-	return err == nil
-}
-
-func (l *Ledger) tryBook(ctx context.Context, program string, a advance) error {
 	ctx, cancel := context.WithTimeout(ctx, bookWait)
 	defer cancel()
-	current := rows.Row{ID: rowID(program)}
-	for range maxTries {
-		r, err := decode(current, a.total)
-		if err != nil {
-			return errors.Trace(err)
-		}
+	_, err := l.update(ctx, program, a.total, func(r *record, _ int64) error {
 		for holder, sum := range a.holders {
 			r.advance(holder, sum)
 		}
-		conflict, err := l.write(ctx, current, &r)
-		if err != nil {
-			return err
-		}
-		if conflict == nil {
-			return nil
-		}
-		current = conflict.Row(current.ID)
+		return nil
+	})
+	if err != nil {
+		l.log.Debug("An advance is not in the store yet.", "program", program, "error", err)
 	}
-	return ErrUnavailable
+	return err == nil
 }
 
 // openAccounts returns the advances to this instance that are to be booked.
--- a/budget/record.go
+++ b/budget/record.go
@@ -23,7 +23,7 @@
 	Writer string `json:"writer"`
 }
 
-func (r record) sum() int {
+func (r *record) sum() int {
 	sum := 0
 	for _, n := range r.Slices {
 		sum += n
@@ -48,11 +48,11 @@
 
 // decode reads a program's row. A row that doesn't exist yet begins with the
 // budget that the program states.
-func decode(row rows.Row, total int) (record, error) {
-	r := record{Total: total}
+func decode(row rows.Row, total int) (*record, error) {
+	r := &record{Total: total}
 	if row.Version != 0 {
-		if err := json.Unmarshal(row.Value, &r); err != nil {
-			return record{}, errors.Trace(err)
+		if err := json.Unmarshal(row.Value, r); err != nil {
+			return nil, errors.Trace(err)
 		}
 	}
 	if r.Slices == nil {
