--- a/front/front.go
+++ b/front/front.go
@@ -163,7 +163,7 @@
 		return errors.Trace(err)
 	}
 	f.peers = peers
-	f.peers.Register(mates.Handlers(f.ledger, f.buckets, f.keeper, f.watcher, f.direct)...)
+	f.peers.Register(f.mates.Handlers(f.buckets, f.keeper, f.watcher, f.direct)...)
 	f.callers = &http.Server{Handler: f.gate, ReadHeaderTimeout: headerWait, IdleTimeout: callerIdle}
 	f.ready = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerWait}
 	f.metrics = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerWait}
--- a/mates/mates.go
+++ b/mates/mates.go
@@ -51,7 +51,8 @@
 	log    hclog.Logger
 	roster *roster.Roster
 	conns  *peer.Conns
-	own    *budget.Ledger
+	// ledger is this instance's, for programs that fall to it.
+	ledger *budget.Ledger
 }
 
 // NewMates returns the callers of the other instances on the roster.
@@ -59,8 +60,9 @@
 	return &Mates{log: log, roster: r, conns: conns}
 }
 
-// Serve names the ledger of this instance, for calls that fall to it.
-func (m *Mates) Serve(own *budget.Ledger) { m.own = own }
+// Serve sets this instance's ledger, which itself calls the other instances. It
+// must be called before any of them is called.
+func (m *Mates) Serve(ledger *budget.Ledger) { m.ledger = ledger }
 
 // HolderName names a process of an instance.
 func HolderName(e roster.Entry) string { return e.Name + "#" + strconv.FormatInt(e.Start, 10) }
@@ -82,47 +84,6 @@
 	return reply.Freed, nil
 }
 
-// Advance asks the program's home for tokens of its budget. Without the home
-// there are none, since two homes could advance more than the budget.
-func (m *Mates) Advance(ctx context.Context, holder, program string, total, most int) (int, error) {
-	home := m.roster.First(program)
-	q := &budget.AdvanceRequest{Holder: holder, Program: program, Total: total, Most: most}
-	if home.Name == m.roster.Self().Name {
-		return m.own.Advance(q.Holder, q.Program, q.Total, q.Most, common.Uptime()), nil
-	}
-	reply, err := call(ctx, m, budget.Advance, home, q, callWait)
-	if err != nil {
-		return 0, err
-	}
-	return reply.Tokens, nil
-}
-
-// Unbooked asks the program's home for its advances.
-func (m *Mates) Unbooked(ctx context.Context, program string) (map[string]int, error) {
-	home := m.roster.First(program)
-	if home.Name == m.roster.Self().Name {
-		return m.own.Unbooked(program)
-	}
-	reply, err := call(ctx, m, budget.Unbooked, home, &budget.UnbookedRequest{Program: program}, callWait)
-	if err != nil {
-		return nil, err
-	}
-	return reply.Holders, nil
-}
-
-// NoteSpender tells the program's home that much of its budget is taken. A home
-// that isn't reached learns it from the store.
-func (m *Mates) NoteSpender(ctx context.Context, program string) {
-	home := m.roster.First(program)
-	if home.Name == m.roster.Self().Name {
-		m.own.NoteSpender(program)
-		return
-	}
-	if _, err := call(ctx, m, budget.Spender, home, &budget.SpenderRequest{Program: program}, callWait); err != nil {
-		m.log.Debug("A program's home was not told of a spender.", "program", program, "home", home.Name, "error", err)
-	}
-}
-
 // Lend asks holders of a quota for tokens, all at once, and returns the sum of
 // what they gave. It asks a few of them at random for a few tokens, and all of
 // them where that was not enough before.
--- a/mates/serve.go
+++ b/mates/serve.go
@@ -15,22 +15,14 @@
 
 // Handlers answer the calls of the other instances. The store is the direct
 // one, so that a call takes one detour at most.
-func Handlers(ledger *budget.Ledger, buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store) []peer.Handler {
+func (m *Mates) Handlers(buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store) []peer.Handler {
 	return []peer.Handler{
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
-			return &budget.ReleaseReply{Holder: ledger.Holder(), Freed: ledger.Release(q.Program)}, nil
-		}),
-		budget.Spender.Handle(func(_ context.Context, q *budget.SpenderRequest) (*budget.SpenderReply, error) {
-			ledger.NoteSpender(q.Program)
-			return &budget.SpenderReply{}, nil
-		}),
-		budget.Unbooked.Handle(func(_ context.Context, q *budget.UnbookedRequest) (*budget.UnbookedReply, error) {
-			holders, err := ledger.Unbooked(q.Program)
-			return &budget.UnbookedReply{Holders: holders}, err
-		}),
-		budget.Advance.Handle(func(_ context.Context, q *budget.AdvanceRequest) (*budget.AdvanceReply, error) {
-			return &budget.AdvanceReply{Tokens: ledger.Advance(q.Holder, q.Program, q.Total, q.Most, common.Uptime())}, nil
+			return &budget.ReleaseReply{Holder: m.ledger.Holder(), Freed: m.ledger.Release(q.Program)}, nil
 		}),
+		budget.Spender.Handle(m.serveSpender),
+		budget.Unbooked.Handle(m.serveUnbooked),
+		budget.Advance.Handle(m.serveAdvance),
 		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.LendReply, error) {
 			now := common.Uptime()
 			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, now), Tight: buckets.Tight(q.Quota, now)}, nil
