Keep a closed group from starting goroutines, and tick the drivers' test by its own clock

Cause: member.Member.Close waited for its group while the control thread still ticked and could start a goroutine in it: WaitGroup.Add beside Wait, and a goroutine that outlives Close. TestDriversUnderFaults counted yields of its callers against retries that take 200 ms of real time.

Change: Group.Go starts nothing once Close was called and says so; the callers that wait for what they start (budget, share, bypass) handle it. The drivers' test has a clock that advances 10 ms a tick; its bound is unchanged.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -210,12 +210,16 @@
 // serve the next turn; it holds the account's refillLock until it ends.
 func (l *Ledger) obtain(ctx context.Context, a *account, program string, total, maxTokens int) error {
 	extended := make(chan error, 1)
-	l.group.Go(func(ctx context.Context) {
+	started := l.group.Go(func(ctx context.Context) {
 		defer func() { <-a.refillLock }()
 		ctx, cancel := context.WithTimeout(ctx, slowStoreTimeout)
 		defer cancel()
 		extended <- l.extend(ctx, a, program, total, maxTokens)
 	})
+	if !started {
+		<-a.refillLock
+		return context.Canceled
+	}
 	start := common.Uptime()
 	for {
 		err := await(ctx, extended, storeTimeout)
--- a/bypass/bypass.go
+++ b/bypass/bypass.go
@@ -139,7 +139,7 @@
 	start := func(p path) {
 		inFlight++
 		directInFlight = directInFlight || p.direct
-		s.group.Go(func(context.Context) {
+		started := s.group.Go(func(context.Context) {
 			r := p.attempt(ctx)
 			r.direct = p.direct
 			if r.direct && !definitive(r.err) && ctx.Err() == nil {
@@ -147,6 +147,9 @@
 			}
 			results <- r
 		})
+		if !started {
+			results <- result{err: rows.ErrNotDone, direct: p.direct}
+		}
 	}
 	first, second := path{attempt: direct, direct: true}, path{attempt: fallback}
 	if s.backingOff() {
--- a/group/group.go
+++ b/group/group.go
@@ -11,6 +11,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
+
+	mu     sync.Mutex // orders Go before or after the start of Close
+	closed bool
 }
 
 // NewGroup returns a group whose context is a child of parent.
@@ -22,14 +25,24 @@
 // Context returns the goroutines' context, which Close cancels.
 func (g *Group) Context() context.Context { return g.ctx }
 
-// Go runs f in a goroutine of the group, with the group's context.
-func (g *Group) Go(f func(ctx context.Context)) {
+// Go runs f in a goroutine of the group, with the group's context. It reports
+// false, without running f, once Close has been called.
+func (g *Group) Go(f func(ctx context.Context)) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
 	g.wg.Go(func() { f(g.ctx) })
+	return true
 }
 
 // Close cancels the group's context and waits until every goroutine has
 // returned.
 func (g *Group) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
 	g.cancel()
 	g.wg.Wait()
 }
--- a/prog/driver_test.go
+++ b/prog/driver_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
@@ -16,13 +18,36 @@
 	"github.com/buckthorntide/buckthorntide/store"
 )
 
-const maxAttempts = 200_000
+const (
+	maxAttempts = 200_000
+	// testTickInterval is how far a tickClock advances with each tick.
+	testTickInterval = 10 * time.Millisecond
+)
+
+// tickClock is a clock that advances with the ticks of a test, so that the
+// number of attempts between two retries of the store doesn't depend on how
+// busy the machine is.
+type tickClock struct {
+	start   time.Time
+	elapsed atomic.Int64
+}
+
+func (c *tickClock) Now() time.Time { return c.start.Add(time.Duration(c.elapsed.Load())) }
+
+func (c *tickClock) advance() { c.elapsed.Add(int64(testTickInterval)) }
 
 func newTestDriver(t *testing.T, fake *store.Fake, instance string) *Driver {
 	t.Helper()
+	return newTestDriverWithClock(t, fake, instance, common.SystemClock{})
+}
+
+func newTestDriverWithClock(t *testing.T, fake *store.Fake, instance string, clock common.Clock) *Driver {
+	t.Helper()
+	c := common.NewCommon(hclog.NewNullLogger(), conf.DefaultSettings())
+	c.Clock = clock
 	d := NewDriver(context.Background(), DriverOptions{
 		Core:      DefaultOptions(instance, "1"),
-		Common:    common.NewCommon(hclog.NewNullLogger(), conf.DefaultSettings()),
+		Common:    c,
 		Table:     fake,
 		Objects:   fake,
 		Committer: fake,
@@ -74,11 +99,16 @@
 func TestDriversUnderFaults(t *testing.T) {
 	ctx := context.Background()
 	fake := store.NewFake()
-	drivers := []*Driver{newTestDriver(t, fake, "a"), newTestDriver(t, fake, "b")}
+	clock := &tickClock{start: time.Now()}
+	drivers := []*Driver{
+		newTestDriverWithClock(t, fake, "a", clock),
+		newTestDriverWithClock(t, fake, "b", clock),
+	}
 	ticks := group.NewGroup(ctx)
 	ticks.Go(func(ctx context.Context) {
 		faults := []store.Fault{store.FaultNone, store.FaultLost, store.FaultNone, store.FaultUnavailable, store.FaultUnknown}
 		for i := 0; ctx.Err() == nil; i++ {
+			clock.advance()
 			fake.SetFault(faults[i/10%len(faults)])
 			drivers[0].Tick()
 			drivers[1].Tick()
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -127,8 +127,11 @@
 		if want == 0 {
 			return nil
 		}
-		s.round = &round{done: make(chan struct{})}
-		l.startRound(q, s.round, want)
+		r := &round{done: make(chan struct{})}
+		if !l.startRound(q, r, want) {
+			return nil
+		}
+		s.round = r
 	}
 	s.waiting += waiting
 	return s.round
@@ -140,8 +143,9 @@
 	l.states[q.Name].waiting--
 }
 
-func (l *Limiter) startRound(q Quota, r *round, want float64) {
-	l.group.Go(func(ctx context.Context) {
+// startRound reports whether the round was started; a closed limiter starts none.
+func (l *Limiter) startRound(q Quota, r *round, want float64) bool {
+	return l.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 		defer cancel()
 		tokens, throttled := l.lenders.Lend(ctx, q, want)
