Let a quota's holders promise tokens instead of being asked in rounds

Change: a holder without a token promises the next one it earns if that is within the asker's patience, and counts it in the window in which it is used. One request makes one call as a rule, and five when the team is over its quota; what no holder can serve in time is refused at once. Four holders a lent quota in place of twelve, so a dead one is missed for a fourth; their order is cached. Cold allowances, which are not lent, keep twelve. Rounds and their goroutines are gone. First requests of programs wait 150 ms instead of 45, as they now know that they will be served.

--- a/front/front.go
+++ b/front/front.go
@@ -218,7 +218,6 @@
 	}
 	f.group.Close()
 	f.watcher.Close()
-	f.limiter.Close()
 	f.ledger.Close()
 	f.keeper.Close()
 	if f.peerServer != nil {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -29,6 +29,9 @@
 	// callTimeout bounds a call that a request waits for; a round trip between
 	// failure domains takes about 3 ms.
 	callTimeout = 40 * time.Millisecond
+	// lendTimeout bounds a call for quota tokens, several of which may follow one
+	// another.
+	lendTimeout = 20 * time.Millisecond
 	// transferTimeout bounds a call that transfers turns or configurations.
 	transferTimeout = 80 * time.Millisecond
 	// EjectionTime is how long a peer that didn't reply is ejected.
@@ -88,40 +91,32 @@
 	return reply.Freed, nil
 }
 
-// Lend borrows tokens from the peers that share a quota, in random order, until
-// it has as many as wanted. It returns their sum and the longest throttled
-// duration that a peer reports.
-func (m *Client) Lend(ctx context.Context, q share.Quota, want float64) (tokens float64, throttled time.Duration) {
-	lenders := m.roster.Ranked(q.Name)
-	lenders = lenders[:min(len(lenders), q.Holders(len(lenders)))]
-	lenders = slices.DeleteFunc(lenders, func(e roster.Entry) bool { return e.Name == m.roster.Self().Name })
-	rand.Shuffle(len(lenders), func(i, j int) { lenders[i], lenders[j] = lenders[j], lenders[i] })
-	tokens = share.Collect(len(lenders), want, func(from, to int, each float64) float64 {
-		sum, longest := m.lendFrom(ctx, lenders[from:to], &share.LendRequest{Quota: q, Want: each})
-		throttled = max(throttled, longest)
-		return sum
-	})
-	return tokens, throttled
+// Holders returns how many peers hold a share of the quota.
+func (m *Client) Holders(q share.Quota) int { return len(m.holders(q)) }
+
+// Lend asks one of the peers that hold a share of the quota, by its rank among
+// them.
+func (m *Client) Lend(ctx context.Context, holder int, q share.Quota, a share.Ask) (share.Loan, bool) {
+	holders := m.holders(q)
+	if holder >= len(holders) {
+		// The roster has just changed.
+		return share.Loan{}, false
+	}
+	loan, err := call(ctx, m, share.Lend, holders[holder], &share.LendRequest{Quota: q, Ask: a}, lendTimeout)
+	if err != nil {
+		return share.Loan{}, false
+	}
+	return *loan, true
 }
 
-// lendFrom calls the lenders concurrently.
-func (m *Client) lendFrom(ctx context.Context, lenders []roster.Entry, q *share.LendRequest) (tokens float64, throttled time.Duration) {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	for _, e := range lenders {
-		wg.Go(func() {
-			reply, err := call(ctx, m, share.Lend, e, q, callTimeout)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			tokens += reply.Tokens
-			throttled = max(throttled, reply.Throttled)
-		})
+func (m *Client) holders(q share.Quota) []roster.Entry {
+	leaders := m.roster.Leaders(q.Name, q.Holders(m.roster.Len()))
+	self := m.roster.Self().Name
+	i := slices.IndexFunc(leaders, func(e roster.Entry) bool { return e.Name == self })
+	if i < 0 {
+		return leaders
 	}
-	wg.Wait()
-	return tokens, throttled
+	return slices.Concat(leaders[:i], leaders[i+1:])
 }
 
 // CommitViaPeer commits a transaction via a peer.
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -22,9 +22,9 @@
 		}),
 		budget.EndProvisionals.Handle(m.serveEndAdvances),
 		budget.GrantProvisional.Handle(m.serveAdvance),
-		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.LendReply, error) {
-			now := common.Uptime()
-			return &share.LendReply{Tokens: buckets.Lend(q.Quota, q.Want, now), Throttled: buckets.Throttled(q.Quota, now)}, nil
+		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.Loan, error) {
+			loan := buckets.Lend(q.Quota, q.Ask, common.Uptime())
+			return &loan, nil
 		}),
 		turns.Find.Handle(func(_ context.Context, q *turns.FindRequest) (*turns.FindReply, error) {
 			return &turns.FindReply{Turn: keeper.Cached(q.ID)}, nil
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -29,7 +29,7 @@
 	quotaTimeout = 300 * time.Millisecond
 	// openingQuotaTimeout is the same for a program's first request, which loses
 	// little by a retry.
-	openingQuotaTimeout = 45 * time.Millisecond
+	openingQuotaTimeout = 150 * time.Millisecond
 	// maxQuotaRetryAfter bounds the Retry-After of a caller beyond its quota;
 	// callers ignore longer ones.
 	maxQuotaRetryAfter = time.Second
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -37,8 +37,10 @@
 		entries  map[string]Entry
 		others   []Entry
 		failures map[string]failure
-		// ranks caches this instance's ranks by name, until the list changes.
-		ranks map[string]int
+		// ranks caches this instance's ranks by name, and leaders the first instances
+		// by name, until the list changes.
+		ranks   map[string]int
+		leaders map[string][]Entry
 	}
 
 	failure struct {
@@ -55,6 +57,7 @@
 		entries:  map[string]Entry{self.Name: self},
 		failures: make(map[string]failure),
 		ranks:    make(map[string]int),
+		leaders:  make(map[string][]Entry),
 	}
 }
 
@@ -121,6 +124,7 @@
 	}
 	slices.SortFunc(r.others, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
 	clear(r.ranks)
+	clear(r.leaders)
 }
 
 // Others returns the peers, sorted by name. The slice is shared and must not be
@@ -146,19 +150,30 @@
 	return e, ok
 }
 
-// Ranked returns all instances in rendezvous order for the name, highest score
-// first. Every instance with the same list computes the same order.
-func (r *Roster) Ranked(name string) []Entry {
+// Leaders returns the first n instances in rendezvous order for the name, highest
+// score first. Every instance with the same list computes the same order. The
+// slice is shared and must not be changed.
+func (r *Roster) Leaders(name string, n int) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n = min(n, len(r.entries))
+	leaders, ok := r.leaders[name]
+	if !ok || len(leaders) < n {
+		leaders = slices.Clone(r.rank(name)[:n])
+		r.leaders[name] = leaders
+	}
+	return leaders[:n]
+}
+
+func (r *Roster) rank(name string) []Entry {
 	type scored struct {
 		Entry
 		score uint64
 	}
-	r.mu.RLock()
 	scores := make([]scored, 0, len(r.entries))
 	for _, e := range r.entries {
 		scores = append(scores, scored{Entry: e, score: common.RendezvousScore(e.Name, name)})
 	}
-	r.mu.RUnlock()
 	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
 	ranked := make([]Entry, 0, len(scores))
 	for _, s := range scores {
--- a/share/share.go
+++ b/share/share.go
@@ -6,14 +6,17 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// maxHolders bounds the instances that a quota is divided among, and so the
-	// calls that a borrower makes.
-	maxHolders = 12
+	// maxHolders bounds the instances that a lent quota is divided among, and so
+	// the calls that a borrower makes.
+	maxHolders = 4
+	// maxLocalHolders is the same for quotas without a window, which aren't lent.
+	maxLocalHolders = 12
 	// minHolderBurst is the minimum burst of a holder's share, so that no share is
 	// too small to admit a request.
 	minHolderBurst = 2.0
@@ -44,14 +47,9 @@
 	// lowUsageFraction is the fraction of the window's limit below which a team is
 	// assumed to stay within its quota.
 	lowUsageFraction = 0.6
-	// minLoan is the smallest fraction of a token that is lent.
-	minLoan = 0.02
 	// tokenTolerance is the rounding error allowed in a token that is the sum of
 	// several loans.
 	tokenTolerance = 1e-6
-	// maxBackoffDoublings bounds the exponential backoff after rounds without
-	// tokens; requests of running programs wait for a few of the shorter ones.
-	maxBackoffDoublings = 2
 	// minAheadUsage is how many requests must be expected within borrowedTTL for
 	// tokens to be borrowed in advance, and minAheadTokens the minimum number of
 	// these. Tokens unused by then are lost at an instance without a share of its
@@ -116,10 +114,9 @@
 		limit float64
 		// throttledUntil is when programs may open again.
 		throttledUntil time.Duration
-		// exhaustedUntil is when the next round of borrowing may start, after
-		// exhaustedRounds consecutive rounds without tokens.
-		exhaustedUntil  time.Duration
-		exhaustedRounds int
+		// exhausted is until when the holders have no token, for requests of
+		// running programs and for those that open one.
+		exhausted struct{ running, opening time.Duration }
 	}
 )
 
@@ -146,7 +143,17 @@
 
 // Holders returns the number of instances that the quota is divided among.
 func (q Quota) Holders(members int) int {
-	return max(1, min(members, maxHolders, int(q.Burst/minHolderBurst)))
+	most := maxHolders
+	if q.Limit <= 0 {
+		most = maxLocalHolders
+	}
+	return max(1, min(members, most, int(q.Burst/minHolderBurst)))
+}
+
+// Holds reports whether the instance has a share of the quota.
+func (b *Buckets) Holds(q Quota) bool {
+	place, members := b.place(q.Name)
+	return place < q.Holders(members)
 }
 
 // Take takes a token for one request and reports whether there was one. A request
@@ -175,44 +182,56 @@
 	k.given.add(-1)
 }
 
-// Want returns how many tokens the instance should borrow for the quota now, given
-// the number of requests that wait for one, the last of which may open a program.
-// It is 0 if there are enough tokens or the other holders were just exhausted.
-func (b *Buckets) Want(q Quota, now time.Duration, waiting int, opens bool) float64 {
+// Want returns how many tokens the instance should borrow for a request that has
+// none, and for those that it expects soon.
+func (b *Buckets) Want(q Quota, now time.Duration) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	if k.exhaustedUntil > now {
-		return 0
-	}
-	need := float64(waiting)
+	want := 1 - k.borrowed
 	if usage := k.recentUsage(now); usage*borrowedTTL.Seconds() >= minAheadUsage {
-		need += max(minAheadTokens, usage*borrowAhead.Seconds())
+		want += max(minAheadTokens, usage*borrowAhead.Seconds())
 	}
-	if opens {
-		need += openingReserve * k.burst
-	}
-	need -= k.tokens + k.borrowed
-	if need <= 0 {
-		return 0
-	}
-	return need
+	return want
 }
 
-// Borrowed adds the tokens of one round of borrowing. If there are none, the next
-// round is delayed by an exponential backoff that starts at the minimum.
-func (b *Buckets) Borrowed(q Quota, tokens float64, now, minBackoff time.Duration) {
+// Borrowed adds the tokens of a loan and takes one for the request that it was made
+// for. It returns false if they don't suffice.
+func (b *Buckets) Borrowed(q Quota, tokens float64, now time.Duration) bool {
+	if tokens <= 0 {
+		return false
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	if tokens <= 0 {
-		k.exhaustedUntil = now + minBackoff<<min(k.exhaustedRounds, maxBackoffDoublings)
-		k.exhaustedRounds++
-		return
-	}
-	k.exhaustedRounds = 0
 	k.borrowed += tokens
 	k.borrowedUntil = now + borrowedTTL
+	if !k.take() {
+		return false
+	}
+	k.countRequest(now)
+	return true
+}
+
+// SetExhausted records until when the holders have no token for a request.
+func (b *Buckets) SetExhausted(q Quota, opens bool, now, until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	*b.bucket(q, now).exhaustedUntil(opens) = until
+}
+
+// Exhausted reports whether the holders are known to have no token for a request.
+func (b *Buckets) Exhausted(q Quota, opens bool, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return *b.bucket(q, now).exhaustedUntil(opens) > now
+}
+
+func (k *bucket) exhaustedUntil(opens bool) *time.Duration {
+	if opens {
+		return &k.exhausted.opening
+	}
+	return &k.exhausted.running
 }
 
 // Throttle keeps programs from opening for the duration, because a running one
@@ -253,18 +272,48 @@
 	return b.Level(q, now).Throttled
 }
 
-// Lend takes up to the wanted tokens out for another instance and returns their
-// number.
-func (b *Buckets) Lend(q Quota, want float64, now time.Duration) float64 {
+// Lend takes tokens out for another instance, or for a request of this one that
+// must wait. Without a whole token it promises the next one that it earns, if that
+// is within the asker's timeout: all requests of the team then form one queue at
+// each holder, and none of them asks twice. It lends no less than a token or what
+// is wanted, since the fractions that several borrowers hold would add up to
+// requests that none of them can send.
+func (b *Buckets) Lend(q Quota, a Ask, now time.Duration) Loan {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(q, now)
-	spare := min(want, k.tokens-k.recentUsage(now)*retainedUsage.Seconds())
-	if spare < min(minLoan, want) {
-		return 0
+	if k.rate <= 0 {
+		return Loan{Wait: maxBorrowBackoff}
+	}
+	spare := k.tokens - k.recentUsage(now)*retainedUsage.Seconds()
+	if a.Opens {
+		spare -= openingReserve * k.burst
+	}
+	throttled := max(0, k.throttledUntil-now)
+	if !a.Opens || throttled == 0 {
+		tokens := a.Want
+		if spare < a.Want-tokenTolerance {
+			tokens = math.Floor(spare + tokenTolerance)
+		}
+		if tokens > 0 {
+			k.spend(tokens)
+			return Loan{Tokens: tokens, Throttled: throttled}
+		}
+	}
+	wait := time.Duration((min(1, a.Want) - spare) / k.rate * float64(time.Second))
+	if a.Opens {
+		wait = max(wait, throttled)
+	}
+	if wait > a.MaxWait {
+		return Loan{Wait: wait, Spare: max(0, spare), Throttled: throttled}
+	}
+	tokens := min(1, a.Want)
+	k.tokens -= tokens
+	k.given.addAhead(tokens, wait, q.Window)
+	if !a.Opens && !k.lowUsage() {
+		k.throttledUntil = max(k.throttledUntil, now+wait+throttledDuration)
 	}
-	k.spend(spare)
-	return spare
+	return Loan{Tokens: tokens, Wait: wait, Throttled: throttled}
 }
 
 // Wait returns the time in which all instances together earn one token.
