Read only the parts of a table that have rows, and slim the peers' connections

Connections between instances had 64 KB of buffers each and window estimates by ping, and the meter built its counters' names anew for each message.

Change: rows.Store lists the parts of a table; Follow reads those alone. The feed of heavy programs pauses 2 s. Buffers of 4 KB, a shared write buffer, a fixed window, workers that keep their grown stacks, counters kept by method.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -686,7 +686,11 @@
 func waitForProvisional(t *testing.T, store rows.Store) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		for _, part := range budget.Parts() {
+		parts, err := store.Parts(t.Context(), budget.Table)
+		if err != nil {
+			return poll.Error(err)
+		}
+		for _, part := range parts.Names {
 			page, err := store.Range(t.Context(), rows.Query{Table: budget.Table, Part: part})
 			if err != nil {
 				return poll.Error(err)
@@ -704,7 +708,9 @@
 func heavyPrograms(t *testing.T, store rows.Store) []rows.Row {
 	t.Helper()
 	var found []rows.Row
-	for _, part := range budget.Parts() {
+	parts, err := store.Parts(t.Context(), budget.HeavyTable)
+	assert.NilError(t, err)
+	for _, part := range parts.Names {
 		page, err := store.Range(t.Context(), rows.Query{Table: budget.HeavyTable, Part: part})
 		assert.NilError(t, err)
 		found = append(found, page.Rows...)
--- a/budget/record.go
+++ b/budget/record.go
@@ -105,16 +105,5 @@
 }
 
 func rowID(program string) rows.ID {
-	return rows.ID{Table: Table, Part: partName(xxhash.Sum64String(program) % parts), Key: program}
+	return rows.ID{Table: Table, Part: fmt.Sprintf("p%d", xxhash.Sum64String(program)%parts), Key: program}
 }
-
-// Parts returns the parts of the tables of budgets.
-func Parts() []string {
-	names := make([]string, 0, parts)
-	for i := range uint64(parts) {
-		names = append(names, partName(i))
-	}
-	return names
-}
-
-func partName(i uint64) string { return fmt.Sprintf("p%d", i) }
--- a/bypass/bypass.go
+++ b/bypass/bypass.go
@@ -123,6 +123,11 @@
 	return r.page, r.err
 }
 
+// Parts returns the parts of a table, on the direct path only.
+func (s *Store) Parts(ctx context.Context, table string) (rows.Parts, error) {
+	return s.direct.Parts(ctx, table)
+}
+
 // Feed returns the changes of a table, on the direct path only.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (rows.Page, error) {
 	return s.direct.Feed(ctx, table, after, wait)
--- a/front/front.go
+++ b/front/front.go
@@ -51,6 +51,11 @@
 	// callerIdleTimeout bounds the idle time of a caller's connection. It exceeds
 	// the callers' own idle timeout, so that they close first.
 	callerIdleTimeout = 90 * time.Second
+	// rosterInterval and heavyInterval are the pauses between two reads of the
+	// changes of the roster and of the table of heavy programs. A home marks its
+	// own heavy programs at once, so others may learn of them later.
+	rosterInterval = 700 * time.Millisecond
+	heavyInterval  = 2 * time.Second
 	// headerTimeout bounds the read of a request's header.
 	headerTimeout = 10 * time.Second
 )
@@ -189,8 +194,8 @@
 	f.peerServer.Start()
 	f.watcher.Require(roster.Table)
 	f.watcher.Start()
-	f.watcher.Follow(roster.Table, []string{""}, f.replaceRoster, f.applyRosterRows)
-	f.watcher.Follow(budget.HeavyTable, budget.Parts(), f.ledger.LoadHeavyPrograms, f.ledger.UpdateHeavyPrograms)
+	f.watcher.Follow(roster.Table, rosterInterval, f.replaceRoster, f.applyRosterRows)
+	f.watcher.Follow(budget.HeavyTable, heavyInterval, f.ledger.LoadHeavyPrograms, f.ledger.UpdateHeavyPrograms)
 	f.group.Go(f.register)
 	f.group.Go(f.removeLost)
 	for i, server := range []*http.Server{f.callerServer, f.readyServer, f.metricsServer} {
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -19,6 +19,12 @@
 	maxReconnectBackoff = 500 * time.Millisecond
 	// connectTimeout bounds one attempt to connect.
 	connectTimeout = time.Second
+	// windowBytes is the flow-control window of a connection. A fixed one saves the
+	// pings by which gRPC would estimate it.
+	windowBytes = 1 << 20
+	// bufferBytes is the size of a connection's buffers: messages are small, and
+	// each instance is connected to most others.
+	bufferBytes = 4 << 10
 )
 
 // Conns holds one connection to each peer that has been called; Close closes
@@ -64,6 +70,11 @@
 func (c *Conns) dial(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithStatsHandler(c.meter),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(
 			grpc.ForceCodec(Codec{}),
--- a/peer/meter.go
+++ b/peer/meter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/grpc/stats"
@@ -18,8 +19,14 @@
 	Meter struct {
 		registry metrics.Registry
 		side     string
+		// counters caches a *counters for each countedMessages.
+		counters sync.Map
 	}
 
+	countedMessages struct{ method, direction string }
+
+	counters struct{ messages, bytes metrics.Counter }
+
 	methodKey struct{}
 )
 
@@ -53,7 +60,16 @@
 func (m *Meter) HandleConn(context.Context, stats.ConnStats) {}
 
 func (m *Meter) count(method, direction string, wireBytes int) {
-	prefix := m.side + "." + method + "." + direction
-	metrics.GetOrRegisterCounter(prefix+".messages", m.registry).Inc(1)
-	metrics.GetOrRegisterCounter(prefix+".bytes", m.registry).Inc(int64(wireBytes + frameBytes))
+	key := countedMessages{method: method, direction: direction}
+	cached, ok := m.counters.Load(key)
+	if !ok {
+		prefix := m.side + "." + method + "." + direction
+		cached, _ = m.counters.LoadOrStore(key, &counters{
+			messages: metrics.GetOrRegisterCounter(prefix+".messages", m.registry),
+			bytes:    metrics.GetOrRegisterCounter(prefix+".bytes", m.registry),
+		})
+	}
+	c := cached.(*counters)
+	c.messages.Inc(1)
+	c.bytes.Inc(int64(wireBytes + frameBytes))
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -21,6 +21,9 @@
 	// keepaliveTimeout bounds the wait for the reply to a ping; after it the
 	// connection is closed.
 	keepaliveTimeout = 2 * time.Second
+	// streamWorkers is the number of goroutines that handle calls one after the
+	// other, on stacks that have grown already. Further calls get one of their own.
+	streamWorkers = 8
 )
 
 // Server handles the calls of other instances.
@@ -45,6 +48,12 @@
 			grpc.ForceServerCodec(Codec{}),
 			grpc.MaxRecvMsgSize(maxMessageBytes),
 			grpc.StatsHandler(NewMeter(c.Metrics, "peer.server")),
+			grpc.InitialWindowSize(windowBytes),
+			grpc.InitialConnWindowSize(windowBytes),
+			grpc.ReadBufferSize(bufferBytes),
+			grpc.WriteBufferSize(bufferBytes),
+			grpc.SharedWriteBuffer(true),
+			grpc.NumStreamWorkers(streamWorkers),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 		),
 		group: group.NewGroup(context.Background()),
--- a/rows/memory.go
+++ b/rows/memory.go
@@ -92,6 +92,24 @@
 	return Page{Rows: found, More: more, Version: m.version}, nil
 }
 
+// Parts returns the parts of the table that have rows.
+func (m *Memory) Parts(_ context.Context, table string) (Parts, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.fault != nil {
+		return Parts{}, m.fault
+	}
+	found := Parts{Version: m.version}
+	for id := range m.rows {
+		if id.Table == table && !slices.Contains(found.Names, id.Part) {
+			found.Names = append(found.Names, id.Part)
+		}
+	}
+	slices.Sort(found.Names)
+	return found, nil
+}
+
 // Feed returns the changes of a table, or an empty page if none occur in time.
 func (m *Memory) Feed(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -78,6 +78,13 @@
 		Version int64
 	}
 
+	// Parts is the store's reply to a Parts call.
+	Parts struct {
+		Names []string
+		// Version is the newest version of the whole store.
+		Version int64
+	}
+
 	// ConflictError is an ErrConflict with the current rows.
 	ConflictError struct {
 		Rows []Row
@@ -90,6 +97,8 @@
 		Commit(ctx context.Context, txn Txn) (int64, error)
 		// Range reads a consistent snapshot of rows in key order.
 		Range(ctx context.Context, query Query) (Page, error)
+		// Parts returns the parts of the table that have rows.
+		Parts(ctx context.Context, table string) (Parts, error)
 		// Feed returns the table's changes after the version, in order. It waits
 		// up to the given time for the first one. After ErrHistoryGone the caller
 		// must read the rows by Range.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -33,10 +33,8 @@
 	// upstreamInterval is the pause between calls for the upstreams table, to which
 	// every upstream writes its heartbeats; it batches the changes.
 	upstreamInterval = 400 * time.Millisecond
-	// ownInterval is the pause between calls for the project's own tables.
-	ownInterval = 700 * time.Millisecond
-	// ownHoldTime is how long the store holds a call for such a table without
-	// changes; they seldom change.
+	// ownHoldTime is how long the store holds a call for one of the project's own
+	// tables without changes.
 	ownHoldTime = 5 * time.Second
 	// missingGrace is how long an upstream's entry may be missing after a store
 	// outage; live upstreams have written it again by then.
@@ -125,7 +123,8 @@
 
 	// feed follows one table.
 	feed struct {
-		table    string
+		table string
+		// parts are read at the start; nil stands for all that have rows.
 		parts    []string
 		interval time.Duration
 		holdTime time.Duration
@@ -205,13 +204,12 @@
 	}
 }
 
-// Follow follows one of the project's own tables until Close. The parts are those
-// that have rows.
-func (w *Watcher) Follow(table string, parts []string, whole, changes func(found []rows.Row)) {
+// Follow follows one of the project's own tables until Close, with a pause after
+// each change.
+func (w *Watcher) Follow(table string, pause time.Duration, whole, changes func(found []rows.Row)) {
 	w.follow(feed{
 		table:    table,
-		parts:    parts,
-		interval: ownInterval,
+		interval: pause,
 		holdTime: ownHoldTime,
 		whole:    whole,
 		rows:     changes,
@@ -317,6 +315,13 @@
 	var mu sync.Mutex
 	var all []rows.Row
 	var version int64
+	if parts == nil {
+		existing, err := w.store.Parts(ctx, table)
+		if err != nil {
+			return nil, 0, err
+		}
+		parts, version = existing.Names, existing.Version
+	}
 	reads, ctx := errgroup.WithContext(ctx)
 	reads.SetLimit(maxConcurrentReads)
 	for _, part := range parts {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -98,6 +98,26 @@
 	return s.Store.Range(ctx, q)
 }
 
+func (s withheld) Parts(ctx context.Context, table string) (rows.Parts, error) {
+	if table == s.table {
+		select {
+		case <-s.release:
+		case <-ctx.Done():
+			return rows.Parts{}, ctx.Err()
+		}
+	}
+	return s.Store.Parts(ctx, table)
+}
+
+func (s late) Parts(ctx context.Context, table string) (rows.Parts, error) {
+	select {
+	case <-time.After(s.delay):
+	case <-ctx.Done():
+		return rows.Parts{}, ctx.Err()
+	}
+	return s.Store.Parts(ctx, table)
+}
+
 func (s late) Range(ctx context.Context, q rows.Query) (rows.Page, error) {
 	select {
 	case <-time.After(s.delay):
@@ -199,7 +219,7 @@
 			d.watcher.Require("instances")
 			d.watcher.Start()
 			t.Cleanup(d.watcher.Close)
-			d.watcher.Follow("instances", []string{""}, func([]rows.Row) {}, func([]rows.Row) {})
+			d.watcher.Follow("instances", 0, func([]rows.Row) {}, func([]rows.Row) {})
 			d.within(time.Second, "the other tables", func(v *site.View) bool { return v.Version == 3 || len(v.Pool("s")) == 1 })
 			assert.Equal(t, d.age(), time.Hour)
 			close(held.release)
@@ -214,11 +234,9 @@
 func TestTableOfManyPartsIsReadFromASlowStore(t *testing.T) {
 	const parts = 32
 	store := rows.NewMemory()
-	names := make([]string, 0, parts)
 	for i := range parts {
-		names = append(names, fmt.Sprintf("p%d", i))
 		_, err := store.Commit(t.Context(), rows.Txn{Writes: []rows.Write{
-			{ID: rows.ID{Table: "spenders", Part: names[i], Key: "k"}, Value: []byte("1")},
+			{ID: rows.ID{Table: "spenders", Part: fmt.Sprintf("p%d", i), Key: "k"}, Value: []byte("1")},
 		}})
 		assert.NilError(t, err)
 	}
@@ -227,7 +245,7 @@
 	whole := make(chan int, 1)
 	watcher.Start()
 	t.Cleanup(watcher.Close)
-	watcher.Follow("spenders", names, func(found []rows.Row) { whole <- len(found) }, func([]rows.Row) {})
+	watcher.Follow("spenders", 0, func(found []rows.Row) { whole <- len(found) }, func([]rows.Row) {})
 	select {
 	case found := <-whole:
 		assert.Equal(t, found, parts)
