Let instances start from seeds while the store is silent, and notice its shortest return

Change: peers listen on the control address, whose seeds an instance asks that knows no other. Instances tell each other the rows of all required tables, the roster among them, with the versions that they are read up to; an instance asks at its start too. Rows at or below that version bring nothing back, a whole read that is older than what is known is dropped (as reads may be during a compaction), and what such a read lacks is told as gone. An instance that isn't on the roster has no share of quotas and is no program's home.

What binds now are answers that can't be kept while the store is away, since a turn must outlive every instance.

--- a/boot/front.go
+++ b/boot/front.go
@@ -5,6 +5,7 @@
 	"flag"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -112,7 +113,7 @@
 		switch {
 		case err != nil:
 			log.Error("failed to load the settings file; keeping the current settings", "file", file, "error", err)
-		case forced || settings != current:
+		case forced || !reflect.DeepEqual(settings, current):
 			current = settings
 			reload(settings)
 		}
--- a/bypass/bypass.go
+++ b/bypass/bypass.go
@@ -30,6 +30,9 @@
 	// for all instances.
 	maxHedges  = 8
 	hedgeRatio = 0.05
+	// maxCopies is how often a call may be sent: on both paths, and once more when
+	// the direct one works again.
+	maxCopies = 3
 	// hedgeRetryInterval is the time between two checks whether a slow call may
 	// use its second path: the budget has a token again, or other calls found the
 	// direct path broken.
@@ -53,6 +56,13 @@
 		group        *group.Group
 		backoffUntil atomic.Int64
 		hedges       hedgeBudget
+		// down reports whether the store seems to be down for all instances.
+		down func() bool
+		// lost is set while the direct path is known to be broken. returned is closed
+		// and replaced when it works again.
+		lost     atomic.Bool
+		mu       sync.Mutex
+		returned chan struct{}
 	}
 
 	// hedgeBudget is a token bucket that limits hedged calls.
@@ -77,24 +87,46 @@
 	}
 )
 
-// NewStore returns a store that uses the direct one and falls back to the peers;
-// Close must be called.
-func NewStore(direct rows.Store, peers Peers) *Store {
+// NewStore returns a store that uses the direct one and falls back to the peers,
+// unless the store is down for them too; Close must be called.
+func NewStore(direct rows.Store, peers Peers, down func() bool) *Store {
 	return &Store{
-		direct: direct,
-		peers:  peers,
-		group:  group.NewGroup(context.Background()),
-		hedges: hedgeBudget{tokens: maxHedges},
+		direct:   direct,
+		peers:    peers,
+		group:    group.NewGroup(context.Background()),
+		hedges:   hedgeBudget{tokens: maxHedges},
+		down:     down,
+		returned: make(chan struct{}),
 	}
 }
 
 // Close waits for the calls in flight.
 func (s *Store) Close() { s.group.Close() }
 
-// ResetBackoff ends the backoff of the direct path, which is known to work.
-func (s *Store) ResetBackoff() { s.backoffUntil.Store(0) }
+// ResetBackoff ends the backoff of the direct path, which is known to work. If it
+// was lost, calls in flight are sent once more: earlier copies may never be
+// answered, and the store may not stay.
+func (s *Store) ResetBackoff() {
+	s.backoffUntil.Store(0)
+	if !s.lost.Swap(false) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.returned)
+	s.returned = make(chan struct{})
+}
+
+// SetLost records that the direct path is broken.
+func (s *Store) SetLost() { s.lost.Store(true) }
+
+func (s *Store) nextReturn() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.returned
+}
 
-// Commit applies a transaction. Two copies of it may be sent; its expectations
+// Commit applies a transaction. Several copies of it may be sent; its expectations
 // ensure that only one takes effect.
 func (s *Store) Commit(ctx context.Context, txn rows.Txn) (int64, error) {
 	r := s.callWithFallback(ctx, func(ctx context.Context) result {
@@ -139,7 +171,7 @@
 func (s *Store) callWithFallback(ctx context.Context, direct, fallback attempt) result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	results := make(chan result, 2)
+	results := make(chan result, maxCopies)
 	inFlight, directInFlight := 0, false
 	start := func(p path) {
 		inFlight++
@@ -157,11 +189,12 @@
 		}
 	}
 	first, second := path{attempt: direct, direct: true}, path{attempt: fallback}
-	if s.backingOff() {
+	secondStarted := s.down()
+	if s.backingOff() && !secondStarted {
 		first, second = second, first
 	}
+	returned := s.nextReturn()
 	start(first)
-	secondStarted := false
 	startSecond := func() {
 		if !secondStarted {
 			secondStarted = true
@@ -191,6 +224,9 @@
 			} else {
 				hedgeTimer.Reset(hedgeRetryInterval)
 			}
+		case <-returned:
+			returned = nil
+			start(path{attempt: direct, direct: true})
 		}
 		if inFlight == 0 {
 			return failed
--- a/bypass/bypass_test.go
+++ b/bypass/bypass_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntide/buckthorntide/bypass"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -93,7 +94,7 @@
 			if tt.other != nil {
 				other = tt.other(memory)
 			}
-			store := bypass.NewStore(direct, viaPeer{other})
+			store := bypass.NewStore(direct, viaPeer{other}, func() bool { return false })
 			defer store.Close()
 			start := time.Now()
 			_, err := store.Commit(t.Context(), txn)
@@ -148,7 +149,7 @@
 func TestSlowStoreGetsFewHedges(t *testing.T) {
 	const calls = 200
 	store := &slow{delay: 300 * time.Millisecond}
-	d := bypass.NewStore(store, viaPeer{store})
+	d := bypass.NewStore(store, viaPeer{store}, func() bool { return false })
 	defer d.Close()
 	commitAll(t, d, calls)
 	assert.Assert(t, store.received.Load() <= calls*11/10, "%d transactions for %d", store.received.Load(), calls)
@@ -159,7 +160,7 @@
 func TestPartitionedInstanceFallsBackForAllCalls(t *testing.T) {
 	const calls = 200
 	other := &slow{delay: 5 * time.Millisecond}
-	d := bypass.NewStore(unresponsive{Store: other}, viaPeer{other})
+	d := bypass.NewStore(unresponsive{Store: other}, viaPeer{other}, func() bool { return false })
 	defer d.Close()
 	longest := commitAll(t, d, calls)
 	assert.Assert(t, longest < 400*time.Millisecond, "%v", longest)
@@ -193,3 +194,44 @@
 		})
 	}
 }
+
+// momentary is a store that answers only calls that are sent while it is open.
+type momentary struct {
+	rows.Store
+	open atomic.Bool
+}
+
+func (m *momentary) Commit(ctx context.Context, txn rows.Txn) (int64, error) {
+	if !m.open.Load() {
+		<-ctx.Done()
+		return 0, rows.ErrUnknown
+	}
+	return m.Store.Commit(ctx, txn)
+}
+
+// A turn that waits for a silent store must be written when the store returns, even
+// if only for a moment, and not when the call that hangs has timed out.
+func TestCallIsSentAgainWhenTheStoreReturns(t *testing.T) {
+	store := &momentary{Store: rows.NewMemory()}
+	d := bypass.NewStore(store, viaPeer{store}, func() bool { return true })
+	t.Cleanup(d.Close)
+	d.SetLost()
+	ended := make(chan error, 1)
+	g := group.NewGroup(t.Context())
+	t.Cleanup(g.Close)
+	g.Go(func(ctx context.Context) {
+		_, err := d.Commit(ctx, rows.Txn{Writes: []rows.Write{{ID: rows.ID{Table: "turns", Key: "k"}, Value: []byte("v")}}})
+		ended <- err
+	})
+	time.Sleep(200 * time.Millisecond)
+	store.open.Store(true)
+	d.ResetBackoff()
+	time.Sleep(100 * time.Millisecond)
+	store.open.Store(false)
+	select {
+	case err := <-ended:
+		assert.NilError(t, err)
+	default:
+		t.Fatal("the call still hangs")
+	}
+}
--- a/conf/front.go
+++ b/conf/front.go
@@ -22,6 +22,10 @@
 	ReadyAddress string `json:"readyAddress"`
 	// PeerAddress is the address for other instances, as IP:port.
 	PeerAddress string `json:"peerAddress"`
+	// Seeds are peer addresses of other instances, as IP:port, from which an
+	// instance that can't read the store learns of the deployment. They may be out
+	// of date.
+	Seeds []string `json:"seeds"`
 	// MetricsAddress is the address for metrics and the state dump, as IP:port.
 	MetricsAddress string `json:"metricsAddress"`
 	// StoreAddress is the address of the platform's store, as IP:port.
@@ -97,6 +101,11 @@
 	})
 	checkDurations(d, reflect.ValueOf(s))
 	checkLogLevel(d, s.LogLevel)
+	for i, seed := range s.Seeds {
+		if !isListenAddress(seed) {
+			d.fault(root().member("seeds").element(i), mustBeIPPort)
+		}
+	}
 	for _, f := range []struct{ field, value string }{
 		{"instance", s.Instance},
 		{"failureDomain", s.FailureDomain},
--- a/front/front.go
+++ b/front/front.go
@@ -108,13 +108,13 @@
 		Start:         time.Now().UnixNano(),
 	})
 	f.conns = peer.NewConns(f.common.Metrics)
-	f.peers = peers.NewClient(log.Named("mates"), f.roster, f.conns)
-	f.store = bypass.NewStore(f.direct, f.peers)
+	f.peers = peers.NewClient(log.Named("mates"), f.roster, f.conns, settings.Seeds)
+	f.store = bypass.NewStore(f.direct, f.peers, func() bool { return f.watcher.StoreDown() })
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, peers.HolderName(f.roster.Self()),
 		budget.Config{FirstStart: settings.FirstStart, IdleTTL: idleBudgetTTL, RecordDelay: budget.RecordDelay, StoreDown: func() bool { return f.watcher.StoreDown() }})
 	f.peers.Serve(f.ledger)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
-		watch.Events{Works: f.store.ResetBackoff, Lost: f.ledger.StoreLost})
+		watch.Events{Works: f.store.ResetBackoff, Lost: f.storeLost})
 	f.buckets = share.NewBuckets(f.roster.Rank, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.peers)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.peers, turns.Config{
@@ -139,6 +139,12 @@
 	return f, nil
 }
 
+// storeLost is called whenever a call of the store for the operator's table fails.
+func (f *Front) storeLost() {
+	f.ledger.StoreLost()
+	f.store.SetLost()
+}
+
 // Reload applies changed settings. Names and addresses keep their values from the
 // start of the process.
 func (f *Front) Reload(settings conf.FrontSettings) {
--- a/front/roster.go
+++ b/front/roster.go
@@ -44,10 +44,9 @@
 		return
 	}
 	e, ok := f.decodeEntry(r)
-	if known, found := f.roster.Find(r.Key); !ok || found && known == e {
+	if !ok || !f.roster.Set(e) {
 		return
 	}
-	f.roster.Set(e)
 	f.log.Info("instance added to the roster or updated", "instance", e.Name, "address", e.Address, "domain", e.FailureDomain,
 		"start", e.Start, "instances", f.roster.Len(), "rowVersion", r.Version)
 }
@@ -69,7 +68,9 @@
 	}
 	if _, err := rows.CommitUntilKnown(ctx, f.store, txn); err != nil {
 		f.log.Warn("registration on the roster failed", "error", err)
+		return
 	}
+	f.roster.MarkListed()
 }
 
 // removeLost removes instances from the roster that this one hasn't reached for
--- a/peer/conns.go
+++ b/peer/conns.go
@@ -74,7 +74,6 @@
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
-		grpc.WithSharedWriteBuffer(true),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(
 			grpc.ForceCodec(Codec{}),
--- a/peer/server.go
+++ b/peer/server.go
@@ -52,7 +52,6 @@
 			grpc.InitialConnWindowSize(windowBytes),
 			grpc.ReadBufferSize(bufferBytes),
 			grpc.WriteBufferSize(bufferBytes),
-			grpc.SharedWriteBuffer(true),
 			grpc.NumStreamWorkers(streamWorkers),
 			grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
 		),
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -32,8 +32,8 @@
 	// lendTimeout bounds a call for quota tokens, several of which may follow one
 	// another.
 	lendTimeout = 20 * time.Millisecond
-	// transferTimeout bounds a call that transfers turns or configurations.
-	transferTimeout = 80 * time.Millisecond
+	// transferTimeout bounds a call that transfers turns or whole tables.
+	transferTimeout = 120 * time.Millisecond
 	// EjectionTime is how long a peer that didn't reply is ejected.
 	EjectionTime = 500 * time.Millisecond
 	// maxUpdateSources is the maximum number of peers that News calls.
@@ -56,15 +56,28 @@
 	log    hclog.Logger
 	roster *roster.Roster
 	conns  *peer.Conns
+	// seeds are asked for updates while no other peer is known.
+	seeds []roster.Entry
 	// ledger is this instance's budget ledger, for programs assigned to it.
 	ledger *budget.Ledger
 }
 
-// NewClient returns a client of the peers on the roster.
-func NewClient(log hclog.Logger, r *roster.Roster, conns *peer.Conns) *Client {
-	return &Client{log: log, roster: r, conns: conns}
+// NewClient returns a client of the peers on the roster. The seeds are addresses
+// (IP:port) of instances from which one that knows no other learns of them; they
+// may be out of date.
+func NewClient(log hclog.Logger, r *roster.Roster, conns *peer.Conns, seeds []string) *Client {
+	m := &Client{log: log, roster: r, conns: conns}
+	for _, address := range seeds {
+		if address != r.Self().Address {
+			m.seeds = append(m.seeds, roster.Entry{Name: "seed " + address, Address: address})
+		}
+	}
+	return m
 }
 
+// Instances returns how many instances are known, including this one.
+func (m *Client) Instances() int { return m.roster.Len() }
+
 // Serve sets this instance's ledger, which itself calls the peers. It must be
 // called before the first call to a peer.
 func (m *Client) Serve(ledger *budget.Ledger) { m.ledger = ledger }
@@ -171,16 +184,22 @@
 	return found
 }
 
-// Updates requests updates from two peers and returns the fresher reply.
+// Updates requests updates from two peers, or from the seeds while no peer is
+// known, and returns the freshest reply.
 func (m *Client) Updates(ctx context.Context, known watch.Positions) (watch.Updates, bool) {
+	sources := m.Any(maxUpdateSources)
+	if len(sources) == 0 {
+		sources = m.seeds
+	}
 	var best watch.Updates
 	found := false
-	for _, e := range m.Any(maxUpdateSources) {
+	for _, e := range sources {
 		reply, err := call(ctx, m, FetchUpdates, e, &UpdatesRequest{Known: known}, transferTimeout)
 		if err != nil {
 			continue
 		}
-		if reply.Updates.Known && (!found || reply.Updates.Age < best.Age) {
+		fresher := reply.Updates.Known && (!best.Known || reply.Updates.Age < best.Age)
+		if !found || fresher {
 			best, found = reply.Updates, true
 		}
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -80,7 +80,7 @@
 	age, known := x.proxy.Views.Age(common.Uptime())
 	x.record.configAge = age
 	if !known || x.view.Version == 0 {
-		return refuseNotReady("no configuration is known yet")
+		return x.refuseUndecided("no configuration is known yet")
 	}
 	x.route = x.view.Route(x.call.Host, x.call.Path)
 	if x.route == nil {
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -17,10 +17,14 @@
 	// notReadyRetryAfter is sent if another instance can most likely serve the
 	// request at once.
 	notReadyRetryAfter = 50 * time.Millisecond
-	// storeDownRetryAfter is sent while no instance reaches the store. Callers
-	// retry only a few times, so shorter delays would be used up before most
-	// outages end.
+	// storeDownRetryAfter is sent while no instance reaches the store, to callers
+	// whose timeout is unknown. Others are told a third of the time that they have
+	// left: they retry only a few times, so shorter delays would be used up before
+	// most outages end, and callers ignore longer ones.
 	storeDownRetryAfter = time.Second
+	retryTimeDivisor    = 3
+	// retryMargin is the time in which the refusal reaches the caller.
+	retryMargin = 10 * time.Millisecond
 	// noCapacityRetryAfter is sent if no upstream has a free slot: about the
 	// duration of one request of a service without a model.
 	noCapacityRetryAfter = 100 * time.Millisecond
@@ -59,6 +63,10 @@
 	refused := refuseNotReady(reason)
 	if x.proxy.Views.StoreDown() {
 		refused.retryAfter = storeDownRetryAfter
+		if x.call.Timeout > 0 {
+			left := x.call.Timeout - time.Since(x.start)
+			refused.retryAfter = max(notReadyRetryAfter, left/retryTimeDivisor-retryMargin)
+		}
 	}
 	return refused
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -32,10 +32,14 @@
 
 	// Roster is this instance's copy of the list. It is safe for concurrent use.
 	Roster struct {
-		self     Entry
-		mu       sync.RWMutex
-		entries  map[string]Entry
-		others   []Entry
+		self    Entry
+		mu      sync.RWMutex
+		entries map[string]Entry
+		others  []Entry
+		// listed is set while the store has a row for this instance's name. Without
+		// one the others don't count on it, so it must not act for a name that all
+		// instances assign alike.
+		listed   bool
 		failures map[string]failure
 		// ranks caches this instance's ranks by name, and leaders the first instances
 		// by name, until the list changes.
@@ -78,25 +82,36 @@
 	return rows.Txn{Removes: []rows.ID{rowID(name)}}
 }
 
-// Set adds or replaces an entry. It ignores this instance's own.
-func (r *Roster) Set(e Entry) {
-	if e.Name == r.self.Name {
-		return
-	}
+// Set adds or replaces an entry and reports whether that changes the list. This
+// instance's own keeps its values.
+func (r *Roster) Set(e Entry) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if e.Name == r.self.Name {
+		changed := !r.listed
+		r.listed = true
+		return changed
+	}
+	if r.entries[e.Name] == e {
+		return false
+	}
 	r.entries[e.Name] = e
 	r.rebuild()
+	return true
 }
 
-// Remove removes an instance. It returns true and changes nothing if it is this
-// instance, which must then register again.
+// MarkListed records that the store has this instance's row.
+func (r *Roster) MarkListed() { r.Set(r.self) }
+
+// Remove removes an instance. It returns true if it is this instance, which must
+// then register again.
 func (r *Roster) Remove(name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if name == r.self.Name {
+		r.listed = false
 		return true
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	delete(r.entries, name)
 	delete(r.failures, name)
 	r.rebuild()
@@ -111,6 +126,7 @@
 	for _, e := range entries {
 		r.entries[e.Name] = e
 	}
+	_, r.listed = r.entries[r.self.Name]
 	r.entries[r.self.Name] = r.self
 	r.rebuild()
 }
@@ -187,7 +203,10 @@
 func (r *Roster) First(name string) Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	first, highest := r.self, common.RendezvousScore(r.self.Name, name)
+	first, highest := r.self, uint64(0)
+	if r.listed {
+		highest = common.RendezvousScore(r.self.Name, name)
+	}
 	for _, e := range r.others {
 		if s := common.RendezvousScore(e.Name, name); s > highest {
 			first, highest = e, s
@@ -197,11 +216,14 @@
 }
 
 // Rank returns this instance's rank in rendezvous order for the name, and the
-// number of instances. It caches the ranks of all names, so that requests don't
+// number of instances. An instance that isn't listed comes last. It caches the ranks of all names, so that requests don't
 // score the whole list.
 func (r *Roster) Rank(name string) (rank, instances int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.listed && len(r.others) > 0 {
+		return len(r.entries), len(r.entries)
+	}
 	rank, ok := r.ranks[name]
 	if !ok {
 		own := common.RendezvousScore(r.self.Name, name)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -13,6 +13,7 @@
 func newRoster(t *testing.T, self string, others ...string) *roster.Roster {
 	t.Helper()
 	r := roster.NewRoster(roster.Entry{Name: self})
+	r.MarkListed()
 	for _, name := range others {
 		r.Set(roster.Entry{Name: name, Start: 1})
 	}
@@ -40,6 +41,25 @@
 	}
 }
 
+// An instance that started while the store was away knows the others before they
+// know it. It must not act as the holder or home of names that the others assign
+// among themselves.
+func TestUnlistedInstanceIsAssignedNothing(t *testing.T) {
+	listed := newRoster(t, "b", "c", "d")
+	r := roster.NewRoster(roster.Entry{Name: "a"})
+	for _, name := range []string{"b", "c", "d"} {
+		r.Set(roster.Entry{Name: name, Start: 1})
+	}
+	for _, name := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+		rank, instances := r.Rank(name)
+		assert.Equal(t, rank, instances)
+		assert.Equal(t, r.First(name).Name, listed.First(name).Name)
+	}
+	r.MarkListed()
+	rank, _ := r.Rank("p1")
+	assert.Equal(t, names(r.Leaders("p1", r.Len()))[rank], "a")
+}
+
 func TestRegistrationRoundTrip(t *testing.T) {
 	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
 	txn, err := roster.NewRoster(e).Registration()
--- a/watch/operator.go
+++ b/watch/operator.go
@@ -6,12 +6,9 @@
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
-func (w *Watcher) operatorFresh(at time.Duration, version int64) {
+func (w *Watcher) operatorFresh(at time.Duration) {
 	w.setFreshAt(at)
 	w.events.Works()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.positions.Operator = version
 }
 
 // wholeOperator applies a complete read of the operator's table. A failure domain
--- a/watch/peers.go
+++ b/watch/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/common"
@@ -13,37 +14,65 @@
 	// maxDirectAge is the age of the view from which peers are asked. While the store
 	// holds a call, the view is as of the start of the call before.
 	maxDirectAge = 2*feedHoldTime + 300*time.Millisecond
-	// peerInterval is the time between such calls to peers.
-	peerInterval = 200 * time.Millisecond
+	// peerInterval is the time between such calls to peers, startInterval that of
+	// an instance that knows nothing yet.
+	peerInterval  = 200 * time.Millisecond
+	startInterval = 50 * time.Millisecond
 )
 
-// pollPeers asks other instances for updates while the direct path to the store
-// fails.
+// pollPeers asks other instances for updates at the start, when their reads may be
+// newer than those of a store that is short of history, and while the direct path
+// to the store fails.
 func (w *Watcher) pollPeers(ctx context.Context) {
+	w.askPeers(ctx)
+	w.wasRead(peersAsked)
 	helped := false
-	for group.Sleep(ctx, peerInterval) {
-		start := common.Uptime()
-		age, known := w.Age(start)
+	for group.Sleep(ctx, w.peerPause()) {
+		age, known := w.Age(common.Uptime())
 		if known && age < maxDirectAge {
 			helped = false
 			w.setStoreDown(false)
 			continue
 		}
-		updates, ok := w.peers.Updates(ctx, w.position())
-		w.setStoreDown(ok && updates.Age >= maxDirectAge)
-		if !ok || !updates.Known {
-			continue
-		}
-		if !helped {
+		updates, ok := w.askPeers(ctx)
+		stale := !updates.Known || updates.Age >= maxDirectAge
+		w.setStoreDown(ok && stale && common.Uptime()-w.startedAt >= maxDirectAge)
+		if ok && updates.Known && !helped {
+			helped = true
 			w.log.Info("receiving updates via a peer", "ageMs", updates.Age.Milliseconds(), "rows", len(updates.Rows))
 		}
-		helped = true
-		w.apply(updates.Rows)
-		w.wasRead(w.decoder.Tables())
-		w.setFreshAt(start - updates.Age)
 	}
 }
 
+// peerPause returns the time until peers are asked again; an instance that knows
+// nothing yet can serve nobody.
+func (w *Watcher) peerPause() time.Duration {
+	if w.complete.Load() {
+		return peerInterval
+	}
+	return startInterval
+}
+
+// askPeers asks other instances for updates and applies them. What they know is as
+// current as it was at their last call of the store, and never replaces what is
+// newer.
+func (w *Watcher) askPeers(ctx context.Context) (Updates, bool) {
+	start := common.Uptime()
+	updates, ok := w.peers.Updates(ctx, w.copyPositions())
+	if !ok || !updates.Known {
+		return updates, ok
+	}
+	w.apply(updates.Rows)
+	for table := range w.required {
+		if version := updates.Positions[table]; version > 0 {
+			w.advance(table, version)
+			w.wasRead(table)
+		}
+	}
+	w.setFreshAt(start - updates.Age)
+	return updates, ok
+}
+
 // StoreDown reports whether the store seems to be unreachable for all instances: neither
 // this one nor the peers that it reaches have read from it for a while.
 func (w *Watcher) StoreDown() bool { return w.storeDown.Load() }
@@ -61,36 +90,47 @@
 	age, ok := w.Age(common.Uptime())
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	updates := Updates{Age: age, Known: ok}
-	operator, _ := w.decoder.Tables()
+	updates := Updates{Age: age, Known: ok, Positions: maps.Clone(w.positions)}
 	for id, r := range w.known {
-		since := known.Upstreams
-		if id.Table == operator {
-			since = known.Operator
-		}
-		if r.Version > since {
+		if r.Version > known[id.Table] {
 			updates.Rows = append(updates.Rows, r)
 		}
 	}
 	return updates
 }
 
-func (w *Watcher) position() Positions {
+func (w *Watcher) copyPositions() Positions {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.positions
+	return maps.Clone(w.positions)
 }
 
+// apply applies the changes that another instance told.
 func (w *Watcher) apply(found []rows.Row) {
-	operator, _ := w.decoder.Tables()
-	var orders, entries []rows.Row
+	byTable := make(map[string][]rows.Row)
+	for _, r := range w.unknown(found) {
+		byTable[r.Table] = append(byTable[r.Table], r)
+	}
+	for table, changes := range byTable {
+		w.mu.Lock()
+		applier, ok := w.appliers[table]
+		w.mu.Unlock()
+		if ok && w.required[table] {
+			applier(changes)
+		}
+	}
+}
+
+// remember keeps the rows of a required table for other instances, and returns
+// those that are newer than the known ones.
+func (w *Watcher) remember(found []rows.Row) []rows.Row {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	newer := found[:0:0]
 	for _, r := range found {
-		if r.Table == operator {
-			orders = append(orders, r)
-		} else {
-			entries = append(entries, r)
+		if !w.required[r.Table] || w.recordIfNewer(r) {
+			newer = append(newer, r)
 		}
 	}
-	w.operatorRows(orders)
-	w.upstreamRows(entries)
+	return newer
 }
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -13,12 +13,6 @@
 // missingInterval is the time between checks for expired missing entries.
 const missingInterval = 100 * time.Millisecond
 
-func (w *Watcher) upstreamsFresh(_ time.Duration, version int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.positions.Upstreams = version
-}
-
 func (w *Watcher) upstreamsFailed() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -18,6 +18,13 @@
 	"github.com/buckthorntide/buckthorntide/site"
 )
 
+// errOldRead is the error of a read that shows an older state than the one known,
+// as reads may while the store drops its history.
+const errOldRead = errors.ConstError("read of the table is out of date")
+
+// peersAsked stands among the unread tables until other instances were asked once.
+const peersAsked = ""
+
 const (
 	// feedHoldTime is how long the store holds a call without changes (long poll).
 	// The age of keys counts from a call's start, so it also bounds their age while
@@ -67,22 +74,22 @@
 		// Updates returns another instance's rows that are newer than the positions,
 		// and their age; ok is false if no instance answered.
 		Updates(ctx context.Context, known Positions) (updates Updates, ok bool)
+		// Instances returns how many instances there are.
+		Instances() int
 	}
 
-	// Positions are the versions up to which the tables were read.
-	Positions struct {
-		Operator  int64 `json:"operator"`
-		Upstreams int64 `json:"upstreams"`
-	}
+	// Positions are the versions up to which the tables were read, by table.
+	Positions map[string]int64
 
-	// Updates are rows of the operator's and the upstreams table, including deleted
-	// ones.
+	// Updates are rows of the required tables, including deleted ones.
 	Updates struct {
 		// Age is the maximum age of the sender's view of the operator's table.
 		Age time.Duration `json:"age"`
 		// Known is false if the sender has not read every required table yet.
 		Known bool       `json:"known"`
 		Rows  []rows.Row `json:"rows"`
+		// Positions are the sender's own.
+		Positions Positions `json:"positions"`
 	}
 
 	// Events are called whenever a call for the operator's table succeeds or fails.
@@ -94,14 +101,15 @@
 	// Watcher follows the store's feeds. View, Age and Away may be called at any
 	// time.
 	Watcher struct {
-		log     hclog.Logger
-		store   rows.Store
-		decoder Decoder
-		peers   Peers
-		events  Events
-		group   *group.Group
-		view    atomic.Pointer[site.View]
-		freshAt atomic.Int64
+		log       hclog.Logger
+		store     rows.Store
+		decoder   Decoder
+		peers     Peers
+		events    Events
+		group     *group.Group
+		startedAt time.Duration
+		view      atomic.Pointer[site.View]
+		freshAt   atomic.Int64
 		// complete is set once every required table was read.
 		complete   atomic.Bool
 		storeDown  atomic.Bool
@@ -112,8 +120,11 @@
 		// known are the rows that were applied, including deleted ones.
 		known     map[rows.ID]rows.Row
 		positions Positions
-		// unread are the required tables that were not read yet.
-		unread map[string]bool
+		// required are the tables that this instance must know, and that it tells
+		// others; appliers apply changes of them. unread are those not read yet.
+		required map[string]bool
+		appliers map[string]func(found []rows.Row)
+		unread   map[string]bool
 		// missing maps upstreams whose entries were deleted shortly after a feed
 		// failure to the time at which they are dropped.
 		missing map[string]time.Duration
@@ -131,9 +142,10 @@
 		// whole applies a complete read of the table, rows one change.
 		whole func(found []rows.Row)
 		rows  func(found []rows.Row)
-		// fresh is called after each successful call with its start time and the
-		// version up to which the table was read.
-		fresh func(at time.Duration, version int64)
+		// fresh is called after each successful call with its start time.
+		fresh func(at time.Duration)
+		// prober reads the changes while the store is lost, if it is set.
+		prober *prober
 		// failed is called after each failed call.
 		failed func()
 	}
@@ -147,11 +159,15 @@
 		store:      store,
 		decoder:    decoder,
 		group:      group.NewGroup(context.Background()),
+		startedAt:  common.Uptime(),
 		domainsOut: make(map[string]bool),
 		upstreams:  make(map[string]*site.Upstream),
 		known:      make(map[rows.ID]rows.Row),
 		missing:    make(map[string]time.Duration),
-		unread:     make(map[string]bool),
+		positions:  make(Positions),
+		required:   make(map[string]bool),
+		appliers:   make(map[string]func(found []rows.Row)),
+		unread:     map[string]bool{peersAsked: true},
 		peers:      peers,
 		events:     events,
 	}
@@ -172,6 +188,7 @@
 		whole:    w.wholeOperator,
 		rows:     w.operatorRows,
 		fresh:    w.operatorFresh,
+		prober:   newProber(w),
 		failed:   w.events.Lost,
 	})
 	w.follow(feed{
@@ -181,16 +198,16 @@
 		holdTime: feedHoldTime,
 		whole:    w.wholeUpstreams,
 		rows:     w.upstreamRows,
-		fresh:    w.upstreamsFresh,
+		fresh:    func(time.Duration) {},
 		failed:   w.upstreamsFailed,
 	})
 	w.group.Go(w.expireMissing)
 	w.group.Go(w.pollPeers)
 }
 
-// Require makes Age report nothing before the table was read. It must be called
-// before Start.
-func (w *Watcher) Require(table string) { w.unread[table] = true }
+// Require makes Age report nothing before the table was read, and lets instances
+// tell each other its rows. It must be called before Start.
+func (w *Watcher) Require(table string) { w.required[table], w.unread[table] = true, true }
 
 // wasRead records that the tables were read completely.
 func (w *Watcher) wasRead(tables ...string) {
@@ -211,10 +228,13 @@
 		table:    table,
 		interval: pause,
 		holdTime: ownHoldTime,
-		whole:    whole,
-		rows:     changes,
-		fresh:    func(time.Duration, int64) {},
-		failed:   func() {},
+		whole: func(found []rows.Row) {
+			w.remember(found)
+			whole(found)
+		},
+		rows:   func(found []rows.Row) { changes(w.remember(found)) },
+		fresh:  func(time.Duration) {},
+		failed: func() {},
 	})
 }
 
@@ -241,17 +261,24 @@
 }
 
 func (w *Watcher) follow(f feed) {
+	w.mu.Lock()
+	w.appliers[f.table] = f.rows
+	w.mu.Unlock()
 	w.group.Go(func(ctx context.Context) {
 		var version int64
 		delay := minRetryDelay
-		lost := false
+		lost, compacted := false, false
 		for ctx.Err() == nil {
+			if version == 0 && !compacted {
+				// Other instances may have told more than nothing.
+				version = w.position(f.table)
+			}
 			next, err := w.fetch(ctx, f, version, lost)
 			if err == nil && next > 0 {
 				if lost {
 					w.log.Info("table feed recovered", "table", f.table, "version", next)
 				}
-				lost, version, delay = false, next, minRetryDelay
+				lost, compacted, version, delay = false, false, next, minRetryDelay
 				group.Sleep(ctx, f.interval)
 				continue
 			}
@@ -262,7 +289,7 @@
 			}
 			if errors.Is(err, rows.ErrHistoryGone) {
 				w.log.Info("table history compacted; reading the table again", "table", f.table, "after", version)
-				version = 0
+				version, compacted = 0, true
 				continue
 			}
 			f.failed()
@@ -270,27 +297,53 @@
 				w.log.Warn("table feed failed", "table", f.table, "after", version, "error", err)
 			}
 			lost = true
+			if errors.Is(err, errNoAnswer) {
+				continue
+			}
 			group.Sleep(ctx, delay)
-			delay = min(2*delay, maxRetryDelay)
+			delay = min(2*delay, w.maxRetryDelay(f))
 		}
 	})
 }
 
 // fetch makes one call: it reads the whole table for version 0, else the changes.
-// After a failure it does not let the store hold the call, since even a reply
-// without changes shows that the view is current.
 func (w *Watcher) fetch(ctx context.Context, f feed, version int64, lost bool) (int64, error) {
-	start := common.Uptime()
 	if version == 0 {
+		start := common.Uptime()
 		found, newest, err := w.readAll(ctx, f.table, f.parts)
 		if err != nil {
 			return 0, err
 		}
+		if known := w.position(f.table); newest < known {
+			return 0, errors.Annotatef(errOldRead, "version %d, known up to %d", newest, known)
+		}
+		w.markMissing(f.table, found, newest)
 		f.whole(found)
-		f.fresh(start, newest)
+		w.advance(f.table, newest)
+		f.fresh(start)
 		w.wasRead(f.table)
 		return newest, nil
 	}
+	read := w.readChanges
+	if lost && f.prober != nil {
+		read = f.prober.read
+	}
+	page, start, err := read(ctx, f, version, lost)
+	if err != nil {
+		return 0, err
+	}
+	f.rows(w.unknown(page.Rows))
+	version = max(version, page.Version)
+	w.advance(f.table, version)
+	f.fresh(start)
+	return version, nil
+}
+
+// readChanges reads the changes of a table after the version, and returns when the
+// call started. While the store is lost it does not let the store hold the call,
+// since even a reply without changes shows that the view is current.
+func (w *Watcher) readChanges(ctx context.Context, f feed, version int64, lost bool) (rows.Page, time.Duration, error) {
+	start := common.Uptime()
 	holdTime := f.holdTime
 	if lost {
 		holdTime = 0
@@ -298,13 +351,15 @@
 	ctx, cancel := context.WithTimeout(ctx, holdTime+feedMargin)
 	defer cancel()
 	page, err := w.store.Feed(ctx, f.table, version, holdTime)
-	if err != nil {
-		return 0, err
+	return page, start, err
+}
+
+// maxRetryDelay returns the longest pause between two failed calls for a table.
+func (w *Watcher) maxRetryDelay(f feed) time.Duration {
+	if f.prober != nil {
+		return w.probeInterval()
 	}
-	f.rows(page.Rows)
-	version = max(version, page.Version)
-	f.fresh(start, version)
-	return version, nil
+	return maxRetryDelay
 }
 
 // readAll reads every part of a table and returns the version from which the feed
@@ -367,6 +422,53 @@
 	return all, version, nil
 }
 
+// position returns the version up to which the table is known.
+func (w *Watcher) position(table string) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.positions[table]
+}
+
+// advance records that all changes of the table up to the version were applied.
+func (w *Watcher) advance(table string, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.positions[table] = max(w.positions[table], version)
+}
+
+// unknown returns the rows that are newer than what is known of their tables. An
+// older one may have been deleted since.
+func (w *Watcher) unknown(found []rows.Row) []rows.Row {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	unknown := found[:0:0]
+	for _, r := range found {
+		if r.Version > w.positions[r.Table] {
+			unknown = append(unknown, r)
+		}
+	}
+	return unknown
+}
+
+// markMissing records the known rows that a complete read of the table lacks as
+// deleted, so that other instances aren't told of them any more.
+func (w *Watcher) markMissing(table string, found []rows.Row, version int64) {
+	if !w.required[table] {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	present := make(map[rows.ID]bool, len(found))
+	for _, r := range found {
+		present[r.ID] = true
+	}
+	for id, r := range w.known {
+		if id.Table == table && !r.Deleted && !present[id] && r.Version <= version {
+			w.known[id] = rows.Row{ID: id, Version: version, Deleted: true}
+		}
+	}
+}
+
 // recordIfNewer stores the row and reports whether it is newer than the known one.
 func (w *Watcher) recordIfNewer(r rows.Row) bool {
 	if r.Version <= w.known[r.ID].Version {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -81,6 +81,8 @@
 	return p.updates, p.ok
 }
 
+func (p *peer) Instances() int { return 2 }
+
 func (p *peer) report(updates watch.Updates) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -291,7 +293,8 @@
 	assert.Equal(t, d.age(), time.Hour)
 	d.peer.report(watch.Updates{
 		Age: 100 * time.Millisecond, Known: true,
-		Rows: []rows.Row{{ID: rows.ID{Table: "orders", Key: "config"}, Value: config, Version: 4}},
+		Rows:      []rows.Row{{ID: rows.ID{Table: "orders", Key: "config"}, Value: config, Version: 4}},
+		Positions: watch.Positions{"orders": 4, "upstreams": 4},
 	})
 	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 9 })
 	assert.Assert(t, d.age() >= 100*time.Millisecond && d.age() < time.Second)
