Bound answers without end, and take no answer without the request's ID

Cause, each shown by a test on the code before: (1) an event of many lines without an empty one was gathered without bound, as only long lines were counted; (2) the body of a refusal that drips held its request until the deadline, and the request was then refused instead of tried elsewhere; (3) an answer without an ID was taken for the request's own, so that a second copy of an earlier answer on a connection in use again went to the next caller.

Change: the size of an event is bounded as a whole (256 KB, as the buffered part of plain answers now is); refusals' bodies are read for 50 ms at most; every answer must bear the request's ID, and the connection of another's answer is closed. Headers of answers are bounded at 64 KB instead of 10 MB.

Ruled out, with a test each: second copies with another ID, endless status lines, headers, informational answers, chunk sizes and single lines; slow but sound streams that are cut before their caller's deadline, stalled ones that outlive it; work that is given up or started again when its upstream is no longer listed.

--- a/proxy/events.go
+++ b/proxy/events.go
@@ -11,8 +11,8 @@
 const (
 	// eventBuffer is the size of a stream's read buffer; events are far smaller.
 	eventBuffer = 4 << 10
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the size of one event, whose lines may never end.
+	maxEventBytes = 256 << 10
 )
 
 // errEventTooLarge is returned for an event that exceeds maxEventBytes.
@@ -66,13 +66,14 @@
 	start := len(e.raw)
 	for {
 		part, err := e.buffered.ReadSlice('\n')
+		if len(e.raw)+len(part) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
 		e.raw = append(e.raw, part...)
 		switch {
 		case err == nil:
 			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
-		case errors.Is(err, bufio.ErrBufferFull) && len(e.raw) < maxEventBytes:
 		case errors.Is(err, bufio.ErrBufferFull):
-			return nil, errEventTooLarge
 		case errors.Is(err, io.EOF) && len(e.raw) > 0:
 			return nil, io.ErrUnexpectedEOF
 		default:
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -25,16 +25,17 @@
 	minTimeLeft = 15 * time.Millisecond
 	// maxBufferedAnswer bounds how much of a non-streaming answer is buffered.
 	// Shorter answers are only forwarded once they are complete.
-	maxBufferedAnswer = 1 << 20
+	maxBufferedAnswer = 256 << 10
 	// silenceFactor times the route's latency objective is when an upstream that
 	// has sent nothing counts as silent rather than slow.
 	silenceFactor = 5
 	// modelSilenceFactor is the same for models, whose full batches stay slow for
 	// long. It ends shortly before callers give up.
 	modelSilenceFactor = 8
-	// maxDiscardBytes bounds how much of a refusal's body is read so that its
-	// connection can be reused.
+	// maxDiscardBytes and discardTimeout bound how much of a refusal's body is read,
+	// and for how long, so that its connection can be reused.
 	maxDiscardBytes = 16 << 10
+	discardTimeout  = 50 * time.Millisecond
 )
 
 // Results of one attempt.
@@ -199,7 +200,10 @@
 	defer x.current.end()
 
 	var wrote atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { x.current.conn.Store(&info.Conn) },
+		WroteHeaders: func() { wrote.Store(true) },
+	})
 	x.record.attempts++
 	stopTimer := x.watchSilence(u, cancel)
 	resp, err := x.proxy.Transport.RoundTrip(x.request(ctx, u, d))
@@ -315,7 +319,9 @@
 	if answer.HasLoad {
 		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
 	}
-	if answer.RequestID != "" && answer.RequestID != x.call.ID {
+	if answer.RequestID != x.call.ID {
+		// The upstream's answer to this request may still follow.
+		x.current.closeConn()
 		x.proxy.Picker.Done(u.ID, pick.Broken, now)
 		x.addTrail(u, "answer to another request: "+answer.RequestID)
 		x.record.runs++
@@ -328,6 +334,7 @@
 		}
 		x.proxy.Picker.Done(u.ID, outcome, now)
 		x.addTrail(u, "not run: "+resp.Status)
+		timer.Reset(discardTimeout)
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxDiscardBytes))
 		return notRun
 	}
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -24,6 +24,8 @@
 	// ErrTooLarge means that the response exceeds the buffer limit.
 	ErrTooLarge = errors.ConstError("answer too large")
 
+	// maxHeaderBytes bounds the header of a response.
+	maxHeaderBytes = 64 << 10
 	// maxResponseBytes bounds a buffered response body.
 	maxResponseBytes = 8 << 20
 	// connectTimeout and unackedTimeout suit upstreams in any region.
@@ -70,6 +72,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+		// A faulty upstream may send a header without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
