Keep a process up through panics over messages and rows of others

Cause: grpc-go doesn't recover a handler's panic, and the watcher's goroutines decode rows of other writers; one message that a handler does not expect, such as a quota without a window, took the process down.

Change: a handler's panic fails its call, a decoder's its row, one while rows are applied the table's call; each is logged with its stack or cause.

Figures: TestPanicOfAHandlerFailsItsCall and TestChangesAreFollowed end the test process without the change.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -29,6 +29,9 @@
 
 var double = peer.Method[request, reply]{Name: "Double"}
 
+// panicNumber makes the handler of double panic.
+const panicNumber = 666
+
 // newServer starts a server of the method double, which returns NotHome for an
 // odd number.
 func newServer(tb testing.TB) *peer.Server {
@@ -37,6 +40,9 @@
 	s, err := peer.NewServer(c, "127.0.0.1:0")
 	assert.NilError(tb, err)
 	s.Register(double.Handle(func(_ context.Context, q *request) (*reply, error) {
+		if q.Number == panicNumber {
+			panic("unexpected number")
+		}
 		if q.Number%2 != 0 {
 			return nil, peer.NotHome()
 		}
@@ -47,6 +53,20 @@
 	return s
 }
 
+// A message that a handler does not expect must fail its own call only.
+func TestPanicOfAHandlerFailsItsCall(t *testing.T) {
+	s := newServer(t)
+	conns := peer.NewConns(metrics.NewRegistry())
+	t.Cleanup(conns.Close)
+	conn, err := conns.To(s.Address())
+	assert.NilError(t, err)
+	_, err = double.Call(t.Context(), conn, &request{Number: panicNumber})
+	assert.ErrorIs(t, err, peer.ErrUnreachable)
+	got, err := double.Call(t.Context(), conn, &request{Number: 4})
+	assert.NilError(t, err)
+	assert.Equal(t, got.Double, 8)
+}
+
 func TestCall(t *testing.T) {
 	s := newServer(t)
 	closed := newServer(t)
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
@@ -63,11 +66,27 @@
 func (s *Server) Register(handlers ...Handler) {
 	desc := &grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*any)(nil)}
 	for _, h := range handlers {
-		desc.Methods = append(desc.Methods, h.desc)
+		desc.Methods = append(desc.Methods, s.recoverPanics(h.desc))
 	}
 	s.server.RegisterService(desc, struct{}{})
 }
 
+// recoverPanics makes a panic of the method's handler fail its call alone: a message
+// that a handler does not expect must not end the process.
+func (s *Server) recoverPanics(method grpc.MethodDesc) grpc.MethodDesc {
+	handle := method.Handler
+	method.Handler = func(srv any, ctx context.Context, decode func(any) error, i grpc.UnaryServerInterceptor) (reply any, err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				s.common.Log.Error("handler of a peer's call panicked", "method", method.MethodName, "cause", cause, "stack", string(debug.Stack()))
+				reply, err = nil, status.Error(codes.Internal, "handler panicked")
+			}
+		}()
+		return handle(srv, ctx, decode, i)
+	}
+	return method
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
--- a/watch/peers.go
+++ b/watch/peers.go
@@ -62,7 +62,9 @@
 	if !ok || !updates.Known {
 		return updates, ok
 	}
-	w.apply(updates.Rows)
+	if err := w.apply(updates.Rows); err != nil {
+		return Updates{}, false
+	}
 	for table := range w.required {
 		if version := updates.Positions[table]; version > 0 {
 			w.advance(table, version)
@@ -106,7 +108,7 @@
 }
 
 // apply applies the changes that another instance told.
-func (w *Watcher) apply(found []rows.Row) {
+func (w *Watcher) apply(found []rows.Row) error {
 	byTable := make(map[string][]rows.Row)
 	for _, r := range w.unknown(found) {
 		byTable[r.Table] = append(byTable[r.Table], r)
@@ -115,10 +117,20 @@
 		w.mu.Lock()
 		applier, ok := w.appliers[table]
 		w.mu.Unlock()
-		if ok && w.required[table] {
-			applier(changes)
+		if !ok || !w.required[table] {
+			continue
+		}
+		if err := w.applyTo(table, changes, applier); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+func (w *Watcher) applyTo(table string, changes []rows.Row, applier func(found []rows.Row)) (err error) {
+	defer w.recoverPanic(table, &err)
+	applier(changes)
+	return nil
 }
 
 // remember keeps the rows of a required table for other instances, and returns
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -157,7 +158,7 @@
 	w := &Watcher{
 		log:        log,
 		store:      store,
-		decoder:    decoder,
+		decoder:    guardedDecoder{decoder},
 		group:      group.NewGroup(context.Background()),
 		startedAt:  common.Uptime(),
 		domainsOut: make(map[string]bool),
@@ -307,7 +308,8 @@
 }
 
 // fetch makes one call: it reads the whole table for version 0, else the changes.
-func (w *Watcher) fetch(ctx context.Context, f feed, version int64, lost bool) (int64, error) {
+func (w *Watcher) fetch(ctx context.Context, f feed, version int64, lost bool) (next int64, err error) {
+	defer w.recoverPanic(f.table, &err)
 	if version == 0 {
 		start := common.Uptime()
 		found, newest, err := w.readAll(ctx, f.table, f.parts)
@@ -362,6 +364,17 @@
 	return maxRetryDelay
 }
 
+// recoverPanic makes a panic over rows of other writers the error of their table's
+// call, instead of the end of the process.
+func (w *Watcher) recoverPanic(table string, err *error) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	w.log.Error("rows of the table caused a panic", "table", table, "cause", cause, "stack", string(debug.Stack()))
+	*err = errors.Errorf("rows of %s: %v", table, cause)
+}
+
 // readAll reads every part of a table and returns the version from which the feed
 // continues: the lowest of all parts, since parts that are read later may be newer.
 func (w *Watcher) readAll(ctx context.Context, table string, parts []string) ([]rows.Row, int64, error) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -67,6 +67,9 @@
 func (decoder) DomainOut(id rows.ID) (string, bool) { return strings.CutPrefix(id.Key, "out/") }
 
 func (decoder) Upstream(row rows.Row, _ time.Duration) (*site.Upstream, error) {
+	if row.Key == "panics" {
+		panic("unexpected row")
+	}
 	u := new(site.Upstream)
 	if err := json.Unmarshal(row.Value, u); err != nil {
 		return nil, errBad
@@ -189,6 +192,7 @@
 
 	d.put("upstreams", "i-1", site.Upstream{Service: "s"})
 	d.put("upstreams", "i-2", "not an upstream")
+	d.put("upstreams", "panics", "an entry that the decoder does not expect")
 	d.within(2*time.Second, "one upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
 	d.remove("upstreams", "i-1")
 	d.within(2*time.Second, "no upstream", func(v *site.View) bool { return len(v.Pool("s")) == 0 })
