Answer what was accepted before a planned stop

Cause: http.Server.Shutdown drops a request that it has just read: the connection's goroutine returns after reading it. Callers that had connected while the balancer still sent new connections, and sent their first request after the server began to shut down, got no answer.

Change: a stop closes the callers' listener, turns keep-alive off and waits for connections in use and for those that were just accepted, for their first request a second at most.

--- a/front/front.go
+++ b/front/front.go
@@ -60,6 +60,9 @@
 	headerTimeout = 10 * time.Second
 )
 
+// callerListener is the index of the listener for callers.
+const callerListener = 0
+
 // Front is one instance. Start and then Close must be called once each.
 type Front struct {
 	settings conf.FrontSettings
@@ -83,6 +86,7 @@
 	proxy         *proxy.Proxy
 	peerServer    *peer.Server
 	callerServer  *http.Server
+	callers       *callerConns
 	readyServer   *http.Server
 	metricsServer *http.Server
 	listeners     []net.Listener
@@ -96,6 +100,7 @@
 		log:       log,
 		common:    common.NewCommon(log, conf.DefaultSettings()),
 		group:     group.NewGroup(context.Background()),
+		callers:   newCallerConns(),
 		direct:    platform.NewStore(settings.StoreAddress, storeConnectTimeout),
 		picker:    pick.NewPicker(),
 		transport: relay.NewTransport(relay.NewDialer(upstreamConnectTimeout, upstreamAckTimeout)),
@@ -182,7 +187,12 @@
 	}
 	f.peerServer = server
 	f.peerServer.Register(f.peers.Handlers(f.buckets, f.keeper, f.watcher, f.direct)...)
-	f.callerServer = &http.Server{Handler: f.proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout}
+	f.callerServer = &http.Server{
+		Handler:           f.proxy,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		ConnState:         f.callers.setState,
+	}
 	f.readyServer = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerTimeout}
 	f.metricsServer = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	for _, address := range []string{f.settings.CallerAddress, f.settings.ReadyAddress, f.settings.MetricsAddress} {
@@ -212,9 +222,11 @@
 }
 
 func (f *Front) serve(server *http.Server, l net.Listener) {
-	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		f.log.Error("HTTP server failed", "address", l.Addr().String(), "error", err)
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || f.stopping.Load() && errors.Is(err, net.ErrClosed) {
+		return
 	}
+	f.log.Error("HTTP server failed", "address", l.Addr().String(), "error", err)
 }
 
 // Close stops all parts without a drain and waits for them.
--- a/front/stop.go
+++ b/front/stop.go
@@ -15,6 +15,10 @@
 	balancerDelay = 2500 * time.Millisecond
 	// stopMargin is the end of the grace period, reserved for the last writes.
 	stopMargin = 700 * time.Millisecond
+	// firstRequestTime is how long a connection that was just accepted may take to
+	// send its first request, and callersInterval the time between two checks.
+	firstRequestTime = time.Second
+	callersInterval  = 20 * time.Millisecond
 	// deregisterTimeout bounds the removal of this instance from the roster.
 	deregisterTimeout = 300 * time.Millisecond
 )
@@ -30,9 +34,23 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	group.Sleep(ctx, balancerDelay)
-	err := f.callerServer.Shutdown(ctx)
+	err := f.finishCallers(ctx)
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelDeregister()
 	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
 	f.log.Info("drain finished", "error", err, "rosterError", removeErr)
 }
+
+// finishCallers accepts no more connections, and waits until every request that was
+// accepted is answered, or until the context ends. It does not shut the server
+// down before: that would drop requests that have just been read.
+func (f *Front) finishCallers(ctx context.Context) error {
+	err := f.listeners[callerListener].Close()
+	f.callerServer.SetKeepAlivesEnabled(false)
+	for f.callers.pending(firstRequestTime) {
+		if !group.Sleep(ctx, callersInterval) {
+			return ctx.Err()
+		}
+	}
+	return err
+}
