Send no refused store call twice, and ask no slow read of all instances

Reads that became slow were asked of all 89 others (71,534 messages).

Change: a refusal by a store whose feed works is the store's own decision, so there is no second path, and retries wait 60 to 600 ms with jitter. Turns are asked of others only where the store is lost. An instance is ready once it is registered, or after a second, since it has no share of quotas before.

Figures: TestFullStoreGetsEachCallOnce and TestSlowReadsAreNotAskedOfAllInstances fail with their change taken out.

--- a/bypass/bypass.go
+++ b/bypass/bypass.go
@@ -120,6 +120,9 @@
 // SetLost records that the direct path is broken.
 func (s *Store) SetLost() { s.lost.Store(true) }
 
+// Lost reports whether the direct path is broken.
+func (s *Store) Lost() bool { return s.lost.Load() }
+
 func (s *Store) nextReturn() chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,7 +170,8 @@
 
 // callWithFallback makes the call on the direct path, or on the fallback path while
 // the direct one is in backoff. It adds the other path if the first fails or, within
-// the hedge budget, if it is slow. The first definitive result is returned.
+// the hedge budget, if it is slow. The first result that the store decided on is
+// returned.
 func (s *Store) callWithFallback(ctx context.Context, direct, fallback attempt) result {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -179,7 +183,7 @@
 		started := s.group.Go(func(context.Context) {
 			r := p.attempt(ctx)
 			r.direct = p.direct
-			if r.direct && !definitive(r.err) && ctx.Err() == nil {
+			if r.direct && !s.decided(r.err) && ctx.Err() == nil {
 				s.backOff()
 			}
 			results <- r
@@ -208,7 +212,7 @@
 		select {
 		case r := <-results:
 			inFlight--
-			if definitive(r.err) {
+			if s.decided(r.err) {
 				s.hedges.refill()
 				if !r.direct && directInFlight {
 					s.backOff()
@@ -257,8 +261,13 @@
 	h.tokens = min(maxHedges, h.tokens+hedgeRatio)
 }
 
-// definitive reports whether the store itself decided on the call.
-func definitive(err error) bool { return err == nil || errors.Is(err, rows.ErrConflict) }
+// decided reports whether the store itself decided on the call. One that serves
+// this instance's feeds and yet refuses a call gets too many from all instances: the
+// other path would add to them.
+func (s *Store) decided(err error) bool {
+	busy := errors.Is(err, rows.ErrBusy) && !s.lost.Load()
+	return err == nil || errors.Is(err, rows.ErrConflict) || busy
+}
 
 // lessCertain prefers the failure after which the call may have taken effect.
 func lessCertain(a, b result) result {
--- a/bypass/bypass_test.go
+++ b/bypass/bypass_test.go
@@ -235,3 +235,42 @@
 		t.Fatal("the call still hangs")
 	}
 }
+
+// full is a store that gets too many calls from all instances together.
+type full struct {
+	rows.Store
+	calls atomic.Int64
+}
+
+func (f *full) Commit(context.Context, rows.Txn) (int64, error) {
+	f.calls.Add(1)
+	return 0, errors.WithType(rows.ErrBusy, rows.ErrNotDone)
+}
+
+// In a burst the fleet sends more transactions than the store takes. A refused one
+// must not be sent again via other instances, unless the store turns just this
+// instance away, feeds included.
+func TestFullStoreGetsEachCallOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		lost bool
+		want int64
+	}{
+		{"the feeds work", false, 0},
+		{"turned away", true, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			direct, viaPeers := &full{}, &full{}
+			d := bypass.NewStore(direct, viaPeer{viaPeers}, func() bool { return false })
+			t.Cleanup(d.Close)
+			if tt.lost {
+				d.SetLost()
+			}
+			_, err := d.Commit(t.Context(), rows.Txn{Writes: []rows.Write{{ID: id, Value: []byte("v")}}})
+			assert.ErrorIs(t, err, rows.ErrNotDone)
+			assert.Equal(t, direct.calls.Load(), int64(1))
+			assert.Equal(t, viaPeers.calls.Load(), tt.want)
+		})
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -51,6 +51,9 @@
 	// callerIdleTimeout bounds the idle time of a caller's connection. It exceeds
 	// the callers' own idle timeout, so that they close first.
 	callerIdleTimeout = 90 * time.Second
+	// registrationTime is how long an instance that started waits for its
+	// registration before it is ready: until then it has no share of quotas.
+	registrationTime = time.Second
 	// rosterInterval and heavyInterval are the pauses between two reads of the
 	// changes of the roster and of the table of heavy programs. A home marks its
 	// own heavy programs at once, so others may learn of them later.
@@ -91,6 +94,7 @@
 	metricsServer *http.Server
 	listeners     []net.Listener
 	stopping      atomic.Bool
+	startedAt     time.Duration
 }
 
 // NewFront returns an instance that listens on its addresses; Start serves them.
@@ -101,6 +105,7 @@
 		common:    common.NewCommon(log, conf.DefaultSettings()),
 		group:     group.NewGroup(context.Background()),
 		callers:   newCallerConns(),
+		startedAt: common.Uptime(),
 		direct:    platform.NewStore(settings.StoreAddress, storeConnectTimeout),
 		picker:    pick.NewPicker(),
 		transport: relay.NewTransport(relay.NewDialer(upstreamConnectTimeout, upstreamAckTimeout)),
@@ -125,6 +130,7 @@
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.peers, turns.Config{
 		RowBytes:   settings.RowBytes,
 		CacheBytes: settings.MemoryMB << 20 / cacheDivisor,
+		StoreLost:  f.store.Lost,
 	})
 	f.proxy = proxy.NewProxy(proxy.Deps{
 		Log:       log.Named("gate"),
@@ -275,6 +281,8 @@
 		return "no configuration is known yet"
 	case age > keyMaxAge(*f.reloadable.Load()):
 		return "the configuration is too old"
+	case !f.roster.Listed() && common.Uptime() < f.startedAt+registrationTime:
+		return "not registered yet"
 	default:
 		return ""
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -100,6 +100,13 @@
 	return true
 }
 
+// Listed reports whether the store has this instance's row.
+func (r *Roster) Listed() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.listed
+}
+
 // MarkListed records that the store has this instance's row.
 func (r *Roster) MarkListed() { r.Set(r.self) }
 
--- a/rows/retry.go
+++ b/rows/retry.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +16,10 @@
 	// of a transaction; a refused call costs the store a fraction of a millisecond.
 	minRetryInterval = 15 * time.Millisecond
 	maxRetryInterval = 250 * time.Millisecond
+	// minBusyInterval and maxBusyInterval bound it at a store that gets too many
+	// calls, of which refused ones are a part.
+	minBusyInterval = 60 * time.Millisecond
+	maxBusyInterval = 600 * time.Millisecond
 )
 
 // CommitUntilKnown retries a transaction until its outcome is known or the context ends. After
@@ -38,10 +43,15 @@
 			return 0, err
 		}
 		maybeApplied = maybeApplied || errors.Is(err, ErrUnknown)
-		if !group.Sleep(ctx, interval) {
+		longest := maxRetryInterval
+		if errors.Is(err, ErrBusy) {
+			interval, longest = max(interval, minBusyInterval), maxBusyInterval
+		}
+		// Jitter, since instances that were refused together would return together.
+		if !group.Sleep(ctx, interval/2+rand.N(interval)) {
 			return 0, retryError(err, maybeApplied)
 		}
-		interval = min(2*interval, maxRetryInterval)
+		interval = min(2*interval, longest)
 	}
 }
 
--- a/rows/rows.go
+++ b/rows/rows.go
@@ -12,6 +12,9 @@
 const (
 	// ErrNotDone means that the call had no effect and never will.
 	ErrNotDone = errors.ConstError("store refused the call")
+	// ErrBusy is an ErrNotDone of a store that gets more calls than it takes from all
+	// instances together, or that turns this one away.
+	ErrBusy = errors.ConstError("store takes no more calls")
 	// ErrUnknown means that the call may have taken effect, or may do so later.
 	ErrUnknown = errors.ConstError("outcome of the store call is unknown")
 	// ErrConflict means that a row didn't have its expected version.
--- a/turns/keeper.go
+++ b/turns/keeper.go
@@ -36,6 +36,8 @@
 		RowBytes int
 		// CacheBytes bounds the size of the cache.
 		CacheBytes int
+		// StoreLost reports whether this instance doesn't reach the store.
+		StoreLost func() bool
 	}
 
 	// Keeper stores and looks up turns, with a cache. It is safe for concurrent
@@ -118,15 +120,19 @@
 }
 
 // find looks a turn up in the cache and then in the store, which is authoritative:
-// a turn is stored before its answer ends. If the read fails, it asks the peers,
-// and then reads once more with a longer timeout in case the store is only slow.
+// a turn is stored before its answer ends. If the read fails, it asks the peers if
+// the store is lost, and reads once more with a longer timeout if it is only slow:
+// a question to all instances for each slow read would slow down all of them.
 func (k *Keeper) find(ctx context.Context, id string) (*Turn, error) {
 	if t, ok := k.cache.get(id); ok {
 		return t, nil
 	}
 	t, err := k.read(ctx, id, readTimeout)
 	if err != nil && !errors.Is(err, ErrNoTurn) {
-		if t = k.peers.Find(ctx, id); t == nil {
+		if k.config.StoreLost() {
+			t = k.peers.Find(ctx, id)
+		}
+		if t == nil {
 			t, err = k.read(ctx, id, slowReadTimeout)
 		}
 	}
--- a/turns/turns_test.go
+++ b/turns/turns_test.go
@@ -30,7 +30,7 @@
 
 func newKeeper(t *testing.T, store rows.Store, peers turns.Peers) *turns.Keeper {
 	t.Helper()
-	k := turns.NewKeeper(hclog.NewNullLogger(), store, peers, turns.Config{RowBytes: rowBytes, CacheBytes: 1 << 20})
+	k := turns.NewKeeper(hclog.NewNullLogger(), store, peers, turns.Config{RowBytes: rowBytes, CacheBytes: 1 << 20, StoreLost: func() bool { return true }})
 	t.Cleanup(k.Close)
 	return k
 }
@@ -134,3 +134,32 @@
 	k := newKeeper(t, store, &peers{})
 	assert.NilError(t, k.Keep(t.Context(), turn("a")))
 }
+
+// slow is a store whose reads outlast the first timeout.
+type slow struct{ rows.Store }
+
+func (s slow) Range(ctx context.Context, q rows.Query) (rows.Page, error) {
+	select {
+	case <-time.After(250 * time.Millisecond):
+		return s.Store.Range(ctx, q)
+	case <-ctx.Done():
+		return rows.Page{}, rows.ErrUnknown
+	}
+}
+
+// In a burst reads take longer. A turn must then be read once more, instead of
+// being asked for at hundreds of instances, which would slow all of them down.
+func TestSlowReadsAreNotAskedOfAllInstances(t *testing.T) {
+	memory := rows.NewMemory()
+	p := &peers{}
+	writer := newKeeper(t, memory, p)
+	assert.NilError(t, writer.Keep(t.Context(), turn("a")))
+	k := turns.NewKeeper(hclog.NewNullLogger(), slow{memory}, p, turns.Config{
+		RowBytes: rowBytes, CacheBytes: 1 << 20, StoreLost: func() bool { return false },
+	})
+	t.Cleanup(k.Close)
+	chain, err := k.Chain(t.Context(), "team", "a")
+	assert.NilError(t, err)
+	assert.Equal(t, len(chain), 1)
+	assert.Equal(t, p.calls.Load(), int32(0))
+}
