Reserve a program's tokens at its home

Change: a turn's tokens are reserved in the ledger of its program's home by one message; the home's allocation serves the turns of all instances. If the home doesn't answer in 50 ms the instance's own ledger takes its place, and the sum stays within the row. A home that waits for the store says so, and is asked again; a reservation whose reply was lost is cancelled, also if it comes later.

--- /dev/null
+++ b/budget/broker.go
@@ -0,0 +1,168 @@
+package budget
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+)
+
+const (
+	// firstHomeWait is how long a program's home may take for a reservation at
+	// first, and homeWait once it has answered and waits for the store itself.
+	firstHomeWait = 30 * time.Millisecond
+	homeWait      = storeTimeout + 50*time.Millisecond
+	// homeMargin is the time for the way to the home and back.
+	homeMargin = 20 * time.Millisecond
+	// settleTimeout bounds the message that ends a reservation.
+	settleTimeout = 500 * time.Millisecond
+)
+
+type (
+	// Homes calls the ledgers of other instances.
+	Homes interface {
+		// IsHome reports whether this instance is the program's home.
+		IsHome(program string) bool
+		// ReserveAtHome makes the reservation at the program's home, and returns the
+		// home's holder name. An error means that it may have been made.
+		ReserveAtHome(ctx context.Context, q *ReserveRequest, timeout time.Duration) (*ReserveReply, string, error)
+		// SettleAt ends a reservation at the process with the holder name.
+		SettleAt(ctx context.Context, home string, q *SettleRequest) error
+	}
+
+	// Broker makes reservations at the ledger of the program's home, so that one
+	// instance has the program's allocations, whichever take its turns: else nearly
+	// every turn in a large fleet would need a transaction. If the home can't be
+	// reached, this instance's own ledger takes its place; the store keeps the sum
+	// of both within the budget.
+	Broker struct {
+		log    hclog.Logger
+		ledger *Ledger
+		homes  Homes
+		ids    atomic.Int64
+		group  *group.Group
+	}
+
+	// Reservation is the budget of one turn in progress. It must be settled.
+	Reservation struct {
+		broker    *Broker
+		program   string
+		maxTokens int
+		// home and id name a reservation at another instance.
+		home string
+		id   string
+	}
+)
+
+// NewBroker returns a broker that falls back to the ledger; Close must be called.
+func NewBroker(log hclog.Logger, ledger *Ledger, homes Homes) *Broker {
+	return &Broker{log: log, ledger: ledger, homes: homes, group: group.NewGroup(context.Background())}
+}
+
+// Close cancels messages in flight and waits for them.
+func (b *Broker) Close() { b.group.Close() }
+
+// Reserve reserves the maximum tokens of a turn. ErrSpent and ErrUnavailable mean
+// that nothing was reserved.
+func (b *Broker) Reserve(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
+	if !b.homes.IsHome(program) {
+		r, err := b.reserveAtHome(ctx, program, total, maxTokens)
+		if r != nil || errors.Is(err, ErrSpent) || errors.Is(err, ErrUnavailable) {
+			return r, err
+		}
+	}
+	if err := b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime()); err != nil {
+		return nil, err
+	}
+	return &Reservation{broker: b, program: program, maxTokens: maxTokens}, nil
+}
+
+// reserveAtHome returns neither a reservation nor an error if the home can't be
+// reached. While the home waits for the store, it is asked again.
+func (b *Broker) reserveAtHome(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
+	q := &ReserveRequest{
+		ID:        b.ledger.Holder() + "/" + strconv.FormatInt(b.ids.Add(1), 10),
+		Program:   program,
+		Total:     total,
+		MaxTokens: maxTokens,
+		Wait:      firstHomeWait,
+	}
+	until := common.Uptime() + b.ledger.maxStoreWait()
+	for {
+		reply, home, err := b.homes.ReserveAtHome(ctx, q, q.Wait+homeMargin)
+		if err != nil {
+			b.settle(home, &SettleRequest{ID: q.ID})
+			return nil, nil
+		}
+		switch reply.Outcome {
+		case Reserved:
+			return &Reservation{broker: b, program: program, maxTokens: maxTokens, home: home, id: q.ID}, nil
+		case Spent:
+			return nil, ErrSpent
+		case Waiting:
+			if ctx.Err() == nil && common.Uptime() < until {
+				q.Wait = homeWait
+				continue
+			}
+		}
+		return nil, errors.Annotate(ErrUnavailable, "at the program's home")
+	}
+}
+
+// settle ends a reservation at another instance. It is sent once: a reservation that
+// isn't ended counts as spent.
+func (b *Broker) settle(home string, q *SettleRequest) {
+	if home == "" {
+		return
+	}
+	b.group.Go(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+		defer cancel()
+		if err := b.homes.SettleAt(ctx, home, q); err != nil {
+			b.log.Debug("reservation was not settled at the program's home", "home", home, "error", err)
+		}
+	})
+}
+
+// Settle ends the reservation and counts the tokens that the turn handed out.
+func (r *Reservation) Settle(tokens int) {
+	if r.home == "" {
+		r.broker.ledger.Settle(r.program, r.maxTokens, tokens)
+		return
+	}
+	r.broker.settle(r.home, &SettleRequest{ID: r.id, Tokens: tokens})
+}
+
+// ReserveFor makes a reservation for another instance, which settles it. It waits
+// for the store as long as the request allows.
+func (l *Ledger) ReserveFor(ctx context.Context, q *ReserveRequest) *ReserveReply {
+	waiting, cancel := context.WithTimeout(ctx, q.Wait)
+	defer cancel()
+	err := l.Reserve(waiting, q.Program, q.Total, q.MaxTokens, common.Uptime())
+	switch {
+	case err == nil && l.desk.add(q.ID, reserved{program: q.Program, maxTokens: q.MaxTokens}):
+		return &ReserveReply{Outcome: Reserved}
+	case err == nil:
+		l.Settle(q.Program, q.MaxTokens, 0)
+		return &ReserveReply{Outcome: Unavailable}
+	case errors.Is(err, ErrSpent):
+		return &ReserveReply{Outcome: Spent}
+	case waiting.Err() != nil:
+		return &ReserveReply{Outcome: Waiting}
+	default:
+		return &ReserveReply{Outcome: Unavailable}
+	}
+}
+
+// SettleFor ends a reservation of another instance.
+func (l *Ledger) SettleFor(q *SettleRequest) {
+	if r, ok := l.desk.end(q.ID, common.Uptime()); ok {
+		l.Settle(r.program, r.maxTokens, q.Tokens)
+	}
+}
--- /dev/null
+++ b/budget/broker_test.go
@@ -0,0 +1,191 @@
+package budget_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/buckthorntide/buckthorntide/budget"
+)
+
+// entry is an instance that takes turns, as its broker sees the others.
+type entry struct {
+	fleet  *fleet
+	ledger *budget.Ledger
+	// fault is the homeFault that befalls messages to the home.
+	fault atomic.Int64
+	// delayed are requests that arrive after the asker gave them up.
+	delayed []*budget.ReserveRequest
+}
+
+type homeFault int
+
+const (
+	homeAnswers homeFault = iota
+	// homeUnreachable: the message is not delivered.
+	homeUnreachable
+	// replyLost: the home makes the reservation, and its reply is lost.
+	replyLost
+	// homeFrozen: the home gets the message after it was given up.
+	homeFrozen
+)
+
+func (e *entry) IsHome(string) bool { return e.fleet.currentHome() == e.ledger }
+
+func (e *entry) ReserveAtHome(ctx context.Context, q *budget.ReserveRequest, _ time.Duration) (*budget.ReserveReply, string, error) {
+	home := e.fleet.currentHome()
+	if home == nil {
+		return nil, "", errGone
+	}
+	switch homeFault(e.fault.Load()) {
+	case homeUnreachable:
+		return nil, home.Holder(), errGone
+	case replyLost:
+		home.ReserveFor(ctx, q)
+		return nil, home.Holder(), errGone
+	case homeFrozen:
+		e.delayed = append(e.delayed, q)
+		return nil, home.Holder(), errGone
+	default:
+		return home.ReserveFor(ctx, q), home.Holder(), nil
+	}
+}
+
+func (e *entry) SettleAt(_ context.Context, holder string, q *budget.SettleRequest) error {
+	e.fleet.mu.Lock()
+	l, ok := e.fleet.ledgers[holder]
+	e.fleet.mu.Unlock()
+	if !ok || homeFault(e.fault.Load()) == homeUnreachable {
+		return errGone
+	}
+	l.SettleFor(q)
+	return nil
+}
+
+func (f *fleet) newBroker() (*budget.Broker, *entry) {
+	e := &entry{fleet: f, ledger: f.start()}
+	return budget.NewBroker(hclog.NewNullLogger(), e.ledger, e), e
+}
+
+// The turns of a program come to ever other instances of a large fleet. Its home's
+// allocations serve them all, so that they need few transactions, none of which
+// meets another's row.
+func TestTurnsAtManyInstancesNeedFewTransactions(t *testing.T) {
+	const (
+		instances = 90
+		programs  = 20
+		turns     = 8
+		maxTokens = 100
+		total     = 2 * turns * maxTokens
+	)
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	brokers := make([]*budget.Broker, instances)
+	for i := range brokers {
+		brokers[i], _ = f.newBroker()
+		defer brokers[i].Close()
+	}
+	before := f.store.Calls()
+	for p := range programs {
+		for turn := range turns {
+			broker := brokers[(p*turns+turn*7)%instances]
+			r, err := broker.Reserve(t.Context(), fmt.Sprint("p", p), total, maxTokens)
+			assert.NilError(t, err)
+			r.Settle(maxTokens)
+		}
+	}
+	perTurn := float64(f.store.Calls()-before) / (programs * turns)
+	t.Logf("%.2f transactions a turn", perTurn)
+	assert.Assert(t, perTurn <= 0.6, "%.2f transactions a turn", perTurn)
+}
+
+// Homes die, freeze and lose replies while turns are reserved there. The tokens
+// handed out must stay within the budget and one turn, whichever ledger gave them,
+// and a message that arrives late must not hold tokens for ever.
+func TestBudgetHoldsWhileHomesFail(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maxTokens := rapid.IntRange(10, 100).Draw(t, "maxTokens")
+		total := maxTokens * rapid.IntRange(1, 12).Draw(t, "turns")
+		f := newFleet(0, time.Hour)
+		defer f.close()
+		brokers := make([]*budget.Broker, 4)
+		entries := make([]*entry, len(brokers))
+		for i := range brokers {
+			brokers[i], entries[i] = f.newBroker()
+			defer brokers[i].Close()
+		}
+		handed := 0
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			at := rapid.IntRange(0, len(brokers)-1).Draw(t, "at")
+			e := entries[at]
+			fault := rapid.SampledFrom([]homeFault{homeAnswers, homeAnswers, homeUnreachable, replyLost, homeFrozen}).Draw(t, "fault")
+			e.fault.Store(int64(fault))
+			r, err := brokers[at].Reserve(context.Background(), "p", total, maxTokens)
+			if err == nil {
+				tokens := rapid.IntRange(0, maxTokens).Draw(t, "tokens")
+				handed += tokens
+				r.Settle(tokens)
+			} else {
+				assert.Assert(t, errors.Is(err, budget.ErrSpent) || errors.Is(err, budget.ErrUnavailable), "%v", err)
+			}
+			if home := f.currentHome(); home != nil {
+				for _, q := range e.delayed {
+					home.ReserveFor(context.Background(), q)
+				}
+			}
+			e.delayed = nil
+			if rapid.IntRange(0, 9).Draw(t, "homeDies") == 0 {
+				f.kill(f.currentHome())
+				next := f.start()
+				next.LoadHeavyPrograms(nil)
+				f.setHome(next)
+			}
+		}
+		assert.Assert(t, handed <= total+maxTokens, "%d of %d handed out", handed, total)
+	})
+}
+
+// The end of a reservation may overtake the reservation itself. Its tokens must not
+// stay reserved.
+func TestCancelledReservationHoldsNothing(t *testing.T) {
+	const maxTokens = 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	home := f.currentHome()
+	q := &budget.ReserveRequest{ID: "a", Program: "p", Total: maxTokens, MaxTokens: maxTokens, Wait: time.Second}
+	home.SettleFor(&budget.SettleRequest{ID: "a"})
+	assert.Equal(t, home.ReserveFor(t.Context(), q).Outcome, budget.Unavailable)
+	q.ID = "b"
+	assert.Equal(t, home.ReserveFor(t.Context(), q).Outcome, budget.Reserved)
+	q.ID = "c"
+	assert.Equal(t, home.ReserveFor(t.Context(), q).Outcome, budget.Spent)
+	home.SettleFor(&budget.SettleRequest{ID: "b"})
+	assert.Equal(t, home.ReserveFor(t.Context(), q).Outcome, budget.Reserved)
+}
+
+// A home that waits for a slow store says so in time, and the turn is reserved there
+// once the transaction has ended.
+func TestTurnWaitsForItsHomesSlowStore(t *testing.T) {
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	slow := &slowStore{Store: f.store, delay: 300 * time.Millisecond}
+	home := budget.NewLedger(hclog.NewNullLogger(), slow, f, "home#1", f.ledgerConfig())
+	defer home.Close()
+	f.ledgers["home#1"] = home
+	f.setHome(home)
+	broker, e := f.newBroker()
+	defer broker.Close()
+	start := time.Now()
+	r, err := broker.Reserve(t.Context(), "p", 1000, 100)
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(start) < time.Second, "%v", time.Since(start))
+	r.Settle(10)
+	assert.Equal(t, e.ledger.Release("p"), 0, "the entry has tokens of its own")
+}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -122,6 +122,7 @@
 		// startedStoreDown is set if the store was down when the process started.
 		startedStoreDown bool
 		home             *home
+		desk             *desk
 		group            *group.Group
 	}
 
@@ -156,6 +157,7 @@
 		accounts:  make(map[string]*account),
 		sweepAt:   minSweepAccounts,
 		home:      newHome(),
+		desk:      newDesk(),
 		group:     group.NewGroup(context.Background()),
 		startedAt: common.Uptime(),
 	}
@@ -193,10 +195,20 @@
 	}
 	waiting, cancel := context.WithTimeout(ctx, l.maxStoreWait())
 	defer cancel()
-	select {
-	case a.refillLock <- struct{}{}:
-	case <-waiting.Done():
-		return errors.Annotate(ErrUnavailable, "another turn of the program waits for the store")
+	slow := time.NewTimer(storeTimeout)
+	defer slow.Stop()
+	for locked := false; !locked; {
+		select {
+		case a.refillLock <- struct{}{}:
+			locked = true
+		case <-slow.C:
+			l.backOff()
+			if l.requestProvisional(ctx, a, program, total, maxTokens) {
+				return nil
+			}
+		case <-waiting.Done():
+			return errors.Annotate(ErrUnavailable, "another turn of the program waits for the store")
+		}
 	}
 	if l.available(a) >= maxTokens {
 		<-a.refillLock
@@ -223,14 +235,14 @@
 	start := common.Uptime()
 	for {
 		err := await(ctx, extended, storeTimeout)
-		if !errors.Is(err, errStoreSlow) {
+		if !errors.Is(err, errStoreSlow) || ctx.Err() != nil {
 			return err
 		}
 		l.backOff()
 		if l.requestProvisional(ctx, a, program, total, maxTokens) {
 			return nil
 		}
-		if ctx.Err() != nil || common.Uptime() > start+l.maxStoreWait() {
+		if common.Uptime() > start+l.maxStoreWait() {
 			return err
 		}
 	}
--- a/budget/message.go
+++ b/budget/message.go
@@ -1,8 +1,52 @@
 package budget
 
-import "github.com/buckthorntide/buckthorntide/peer"
+import (
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/peer"
+)
+
+// Outcomes of a reservation at a program's home.
+const (
+	// Unavailable: the remaining budget can't be determined now.
+	Unavailable Outcome = iota
+	// Reserved: the tokens are the asker's until it settles.
+	Reserved
+	// Spent: the budget has too few tokens left.
+	Spent
+	// Waiting: nothing is reserved yet, and the home waits for the store.
+	Waiting
+)
 
 type (
+	// Outcome is the result of a reservation at a program's home.
+	Outcome int
+
+	// ReserveRequest asks a program's home to reserve the tokens of one turn.
+	ReserveRequest struct {
+		// ID names the reservation.
+		ID        string        `json:"id"`
+		Program   string        `json:"program"`
+		Total     int           `json:"total"`
+		MaxTokens int           `json:"most"`
+		Wait      time.Duration `json:"wait"`
+	}
+
+	// ReserveReply is the outcome.
+	ReserveReply struct {
+		Outcome Outcome `json:"outcome"`
+	}
+
+	// SettleRequest ends a reservation, or cancels one that may have been made.
+	SettleRequest struct {
+		ID string `json:"id"`
+		// Tokens are those that the turn handed out.
+		Tokens int `json:"tokens"`
+	}
+
+	// SettleReply confirms the end.
+	SettleReply struct{}
+
 	// ReleaseRequest asks an instance to return the tokens of a program that its
 	// turns in flight don't need.
 	ReleaseRequest struct {
@@ -50,6 +94,8 @@
 
 // RPC methods that instances serve.
 var (
+	Reserve          = peer.Method[ReserveRequest, ReserveReply]{Name: "BudgetReserve"}
+	Settle           = peer.Method[SettleRequest, SettleReply]{Name: "BudgetSettle"}
 	Release          = peer.Method[ReleaseRequest, ReleaseReply]{Name: "BudgetRelease"}
 	EndProvisionals  = peer.Method[EndProvisionalsRequest, Ended]{Name: "BudgetEndAdvances"}
 	GrantProvisional = peer.Method[ProvisionalRequest, ProvisionalReply]{Name: "BudgetAdvance"}
--- a/front/front.go
+++ b/front/front.go
@@ -81,6 +81,7 @@
 	peers         *peers.Client
 	watcher       *watch.Watcher
 	ledger        *budget.Ledger
+	broker        *budget.Broker
 	buckets       *share.Buckets
 	limiter       *share.Limiter
 	keeper        *turns.Keeper
@@ -123,6 +124,7 @@
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, peers.HolderName(f.roster.Self()),
 		budget.Config{FirstStart: settings.FirstStart, IdleTTL: idleBudgetTTL, RecordDelay: budget.RecordDelay, StoreDown: func() bool { return f.watcher.StoreDown() }})
 	f.peers.Serve(f.ledger)
+	f.broker = budget.NewBroker(log.Named("budget"), f.ledger, f.peers)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
 		watch.Events{Works: f.store.ResetBackoff, Lost: f.storeLost})
 	f.buckets = share.NewBuckets(f.roster.Rank, common.Uptime())
@@ -138,7 +140,7 @@
 		Codec:     platform.Codec{},
 		Views:     f.watcher,
 		Quotas:    f.limiter,
-		Budgets:   f.ledger,
+		Budgets:   f.broker,
 		Turns:     f.keeper,
 		Picker:    f.picker,
 		Transport: f.transport,
@@ -247,6 +249,7 @@
 	}
 	f.group.Close()
 	f.watcher.Close()
+	f.broker.Close()
 	f.ledger.Close()
 	f.keeper.Close()
 	if f.peerServer != nil {
--- a/peers/home.go
+++ b/peers/home.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
@@ -31,6 +34,33 @@
 	return *ended, nil
 }
 
+// IsHome reports whether this instance is the program's home.
+func (m *Client) IsHome(program string) bool {
+	return m.roster.First(program).Name == m.roster.Self().Name
+}
+
+// ReserveAtHome makes the reservation at the program's home, and returns the home's
+// holder name.
+func (m *Client) ReserveAtHome(ctx context.Context, q *budget.ReserveRequest, timeout time.Duration) (*budget.ReserveReply, string, error) {
+	home := m.roster.First(q.Program)
+	reply, err := call(ctx, m, budget.Reserve, home, q, timeout)
+	if errors.Is(err, errEjected) {
+		// Nothing was sent.
+		return nil, "", err
+	}
+	return reply, HolderName(home), err
+}
+
+// SettleAt ends a reservation at the process with the holder name.
+func (m *Client) SettleAt(ctx context.Context, home string, q *budget.SettleRequest) error {
+	e, err := m.holder(home)
+	if err != nil {
+		return err
+	}
+	_, err = call(ctx, m, budget.Settle, e, q, settleTimeout)
+	return err
+}
+
 // Home returns the holder name of the process that the program is assigned to.
 func (m *Client) Home(program string) string { return HolderName(m.roster.First(program)) }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -32,6 +32,8 @@
 	// lendTimeout bounds a call for quota tokens, several of which may follow one
 	// another.
 	lendTimeout = 20 * time.Millisecond
+	// settleTimeout bounds a message that no request waits for.
+	settleTimeout = 250 * time.Millisecond
 	// transferTimeout bounds a call that transfers turns or whole tables.
 	transferTimeout = 120 * time.Millisecond
 	// EjectionTime is how long a peer that didn't reply is ejected.
@@ -89,10 +91,9 @@
 // Release makes a holder give up the tokens of a program's allocation that it
 // doesn't need, and returns their number.
 func (m *Client) Release(ctx context.Context, holder, program string) (int, error) {
-	name, _, _ := strings.Cut(holder, "#")
-	e, ok := m.roster.Find(name)
-	if !ok || HolderName(e) != holder {
-		return 0, errHolderGone
+	e, err := m.holder(holder)
+	if err != nil {
+		return 0, err
 	}
 	reply, err := call(ctx, m, budget.Release, e, &budget.ReleaseRequest{Program: program}, callTimeout)
 	if err != nil {
@@ -104,6 +105,16 @@
 	return reply.Freed, nil
 }
 
+// holder returns the entry of the process with the holder name.
+func (m *Client) holder(name string) (roster.Entry, error) {
+	instance, _, _ := strings.Cut(name, "#")
+	e, ok := m.roster.Find(instance)
+	if !ok || HolderName(e) != name {
+		return roster.Entry{}, errHolderGone
+	}
+	return e, nil
+}
+
 // Holders returns how many peers hold a share of the quota.
 func (m *Client) Holders(q share.Quota) int { return len(m.holders(q)) }
 
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -20,6 +20,13 @@
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
 			return &budget.ReleaseReply{Holder: m.ledger.Holder(), Freed: m.ledger.Release(q.Program)}, nil
 		}),
+		budget.Reserve.Handle(func(ctx context.Context, q *budget.ReserveRequest) (*budget.ReserveReply, error) {
+			return m.ledger.ReserveFor(ctx, q), nil
+		}),
+		budget.Settle.Handle(func(_ context.Context, q *budget.SettleRequest) (*budget.SettleReply, error) {
+			m.ledger.SettleFor(q)
+			return &budget.SettleReply{}, nil
+		}),
 		budget.EndProvisionals.Handle(m.serveEndAdvances),
 		budget.GrantProvisional.Handle(m.serveAdvance),
 		share.Lend.Handle(func(_ context.Context, q *share.LendRequest) (*share.Loan, error) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -36,7 +36,7 @@
 	routeDeadline  time.Time
 	// quota is set while the request holds a quota token that can be returned.
 	quota           *share.Quota
-	budgetReserved  bool
+	reservation     *budget.Reservation
 	generatedTokens int
 	// input is the body that the caller sent; body also has the previous turns and
 	// is what upstreams receive.
@@ -237,9 +237,9 @@
 	}
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline())
 	defer cancel()
-	err := x.proxy.Budgets.Reserve(ctx, x.programKey(), x.call.Budget, x.call.MaxTokens, common.Uptime())
+	var err error
+	x.reservation, err = x.proxy.Budgets.Reserve(ctx, x.programKey(), x.call.Budget, x.call.MaxTokens)
 	if err == nil {
-		x.budgetReserved = true
 		return nil
 	}
 	if errors.Is(err, budget.ErrSpent) {
@@ -251,8 +251,8 @@
 // release settles the reserved budget, and returns the quota token if no
 // upstream ran the request.
 func (x *exchange) release() {
-	if x.budgetReserved {
-		x.proxy.Budgets.Settle(x.programKey(), x.call.MaxTokens, x.generatedTokens)
+	if x.reservation != nil {
+		x.reservation.Settle(x.generatedTokens)
 	}
 	if x.record.runs == 0 {
 		x.returnQuota()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -37,8 +38,7 @@
 
 	// Budgets limit the tokens that a program may generate.
 	Budgets interface {
-		Reserve(ctx context.Context, program string, total, maxTokens int, now time.Duration) error
-		Settle(program string, maxTokens, tokens int)
+		Reserve(ctx context.Context, program string, total, maxTokens int) (*budget.Reservation, error)
 	}
 
 	// Turns store and look up turns of conversations.
