--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -204,6 +204,9 @@
 		GotConn:      func(info httptrace.GotConnInfo) { x.current.conn.Store(&info.Conn) },
 		WroteHeaders: func() { wrote.Store(true) },
 	})
+	if x.record.attempts == 0 {
+		x.record.admitted = time.Since(x.start)
+	}
 	x.record.attempts++
 	stopTimer := x.watchSilence(u, cancel)
 	resp, err := x.proxy.Transport.RoundTrip(x.request(ctx, u, d))
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -25,7 +25,9 @@
 		attempts int
 		runs     int
 		// trail lists the upstreams that were tried, each with its outcome.
-		trail     string
+		trail string
+		// admitted is the time until the request was first sent to an upstream.
+		admitted  time.Duration
 		firstByte time.Duration
 		// events counts the events sent to the caller.
 		events int
@@ -70,7 +72,7 @@
 	x.proxy.Log.Info("request ended", "request", x.call.ID, "route", route, "team", x.teamName(),
 		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn,
 		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
-		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "firstMs", x.record.firstByte.Milliseconds(),
+		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
 		"totalMs", elapsed.Milliseconds(), "patienceMs", x.call.Timeout.Milliseconds(),
 		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted)
 	if x.record.aborted {
