--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -53,9 +53,24 @@
 // admit reports whether the request may be forwarded. If it returns false, it
 // has already answered the request.
 func (x *exchange) admit() bool {
-	steps := []func() *refusal{x.findRoute, x.checkKey, x.readBody, x.takeQuota, x.prependTurns, x.reserveBudget}
+	steps := []struct {
+		run  func() *refusal
+		time *time.Duration
+	}{
+		{run: x.findRoute},
+		{run: x.checkKey},
+		{run: x.readBody},
+		{x.takeQuota, &x.record.quotaTime},
+		{x.prependTurns, &x.record.turnsTime},
+		{x.reserveBudget, &x.record.budgetTime},
+	}
 	for _, step := range steps {
-		if refused := step(); refused != nil {
+		start := time.Now()
+		refused := step.run()
+		if step.time != nil {
+			*step.time = time.Since(start)
+		}
+		if refused != nil {
 			x.refuse(refused)
 			x.returnQuota()
 			return false
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -26,6 +26,11 @@
 		runs     int
 		// trail lists the upstreams that were tried, each with its outcome.
 		trail string
+		// quotaTime, turnsTime and budgetTime are how long the request waited for
+		// its team's quota, the turns before it and its program's budget.
+		quotaTime  time.Duration
+		turnsTime  time.Duration
+		budgetTime time.Duration
 		// admitted is the time until the request was first sent to an upstream.
 		admitted  time.Duration
 		firstByte time.Duration
@@ -72,7 +77,8 @@
 	x.proxy.Log.Info("request ended", "request", x.call.ID, "route", route, "team", x.teamName(),
 		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn,
 		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
-		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
+		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
+		"budgetMs", x.record.budgetTime.Milliseconds(), "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
 		"totalMs", elapsed.Milliseconds(), "patienceMs", x.call.Timeout.Milliseconds(),
 		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted)
 	if x.record.aborted {
