Double the ejection of a peer that does not reply

An instance sees few requests for each of them, so half a second after a failure the next one waited in vain again.

Change: the ejection doubles up to 2 s with each failed call after it. An instance is taken off the roster no sooner than 3 s after it stops to accept keys, as four holders are more to miss than twelve.

TestEjectionDoubles: 12 calls in 20 s.

--- a/front/dump.go
+++ b/front/dump.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"github.com/buckthorntide/buckthorntide/common"
-	"github.com/buckthorntide/buckthorntide/peers"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -89,7 +88,7 @@
 		})
 	}
 	for _, e := range f.roster.Others() {
-		d.Instances = append(d.Instances, InstanceDump{Entry: e, Ejected: f.roster.Ejected(e.Name, now, peers.EjectionTime)})
+		d.Instances = append(d.Instances, InstanceDump{Entry: e, Ejected: f.roster.Ejected(e.Name, now)})
 	}
 	return d
 }
--- a/front/roster.go
+++ b/front/roster.go
@@ -14,8 +14,11 @@
 	// lostCheckInterval is the time between two checks for lost instances.
 	lostCheckInterval = 2 * time.Second
 	// lostTimeout is how long an instance must have been unreachable before it is
-	// removed from the roster. Restarts take less.
+	// removed from the roster. Restarts take less. It exceeds the age up to which
+	// the instance accepts keys by lostMargin, so that one that is cut off has
+	// stopped to use its shares of quotas before others take them over.
 	lostTimeout = 8 * time.Second
+	lostMargin  = 3 * time.Second
 )
 
 func (f *Front) replaceRoster(found []rows.Row) {
@@ -82,7 +85,8 @@
 			// This instance itself is probably partitioned.
 			continue
 		}
-		for _, name := range f.roster.Unreachable(common.Uptime(), lostTimeout) {
+		after := max(lostTimeout, time.Duration(f.reloadable.Load().KeyRevocation)+lostMargin)
+		for _, name := range f.roster.Unreachable(common.Uptime(), after) {
 			_, err := f.direct.Commit(ctx, f.roster.Removal(name))
 			f.log.Warn("instance unreachable; removing it from the roster", "instance", name, "error", err)
 		}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -36,8 +36,6 @@
 	settleTimeout = 250 * time.Millisecond
 	// transferTimeout bounds a call that transfers turns or whole tables.
 	transferTimeout = 120 * time.Millisecond
-	// EjectionTime is how long a peer that didn't reply is ejected.
-	EjectionTime = 500 * time.Millisecond
 	// maxUpdateSources is the maximum number of peers that News calls.
 	maxUpdateSources = 2
 	// maxFallbackPeers is the maximum number of peers that a store call is sent
@@ -226,7 +224,7 @@
 		if len(found) == n {
 			break
 		}
-		if !m.roster.Ejected(others[i].Name, now, EjectionTime) {
+		if !m.roster.Ejected(others[i].Name, now) {
 			found = append(found, others[i])
 		}
 	}
@@ -235,7 +233,7 @@
 
 // call sends one request and records in the roster whether the peer replied.
 func call[Q, R any](ctx context.Context, m *Client, method peer.Method[Q, R], e roster.Entry, q *Q, timeout time.Duration) (*R, error) {
-	if m.roster.Ejected(e.Name, common.Uptime(), EjectionTime) {
+	if m.roster.Ejected(e.Name, common.Uptime()) {
 		return nil, errEjected
 	}
 	conn, err := m.conns.To(e.Address)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,8 +15,16 @@
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
-// Table is the table with one row for each instance, keyed by its name.
-const Table = "instances"
+const (
+	// Table is the table with one row for each instance, keyed by its name.
+	Table = "instances"
+
+	// minEjection and maxEjection bound how long an instance that did not reply is
+	// not called. maxDoublings is where the ejection stops growing.
+	minEjection  = 500 * time.Millisecond
+	maxEjection  = 2 * time.Second
+	maxDoublings = 2
+)
 
 type (
 	// Entry is one instance.
@@ -51,6 +59,9 @@
 		start int64
 		first time.Duration
 		last  time.Duration
+		// until is when the ejection ends, after rounds consecutive ones.
+		until  time.Duration
+		rounds int
 	}
 )
 
@@ -260,16 +271,20 @@
 		f = failure{start: r.entries[name].Start, first: now}
 	}
 	f.last = now
+	if now >= f.until {
+		f.until = now + min(minEjection<<min(f.rounds, maxDoublings), maxEjection)
+		f.rounds++
+	}
 	r.failures[name] = f
 }
 
-// Ejected reports whether the last call to the instance failed less than the
-// ejection time ago.
-func (r *Roster) Ejected(name string, now, ejection time.Duration) bool {
+// Ejected reports whether the instance is not called now, since it did not reply. The
+// ejection doubles with each call after it that fails too.
+func (r *Roster) Ejected(name string, now time.Duration) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	f, ok := r.failures[name]
-	return ok && f.start == r.entries[name].Start && now-f.last < ejection
+	return ok && f.start == r.entries[name].Start && now < f.until
 }
 
 // Unreachable returns the instances whose calls have all failed for longer than after,
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -144,3 +144,25 @@
 	_, instances = r.Rank("p")
 	assert.Equal(t, instances, 2)
 }
+
+// A third of the instances is cut off. What asks one of them in vain must not do so
+// again and again: the pause doubles up to two seconds, and ends with a reply.
+func TestEjectionDoubles(t *testing.T) {
+	r := newRoster(t, "a", "b")
+	calls := 0
+	for now := time.Second; now < 21*time.Second; now += 10 * time.Millisecond {
+		if !r.Ejected("b", now) {
+			calls++
+			r.MarkFailed("b", now)
+			r.MarkFailed("b", now)
+		}
+	}
+	assert.Equal(t, calls, 12)
+	r.MarkReachable("b")
+	assert.Assert(t, !r.Ejected("b", 21*time.Second))
+	r.MarkFailed("b", 21*time.Second)
+	assert.Assert(t, !r.Ejected("b", 21*time.Second+minEjectionOfOne))
+}
+
+// minEjectionOfOne is how long a single failure ejects.
+const minEjectionOfOne = 500 * time.Millisecond
