Read again at once what a store does not answer at the start

Change: a call of a whole read that has no answer in 0.4 s is made again, then in 0.8 s.

TestStartWhileAnswersAreLost fails without the change.

--- a/watch/outage_test.go
+++ b/watch/outage_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,13 @@
 		set atomic.Bool
 	}
 
+	// losing is a store that loses its first answer about the rows of each table.
+	losing struct {
+		rows.Store
+		mu       sync.Mutex
+		answered map[string]bool
+	}
+
 	// lagging is a store whose reads of whole tables show the rows as they were
 	// when the snapshot was taken, as during a compaction.
 	lagging struct {
@@ -58,6 +66,18 @@
 	return page, err
 }
 
+func (l *losing) Range(ctx context.Context, q rows.Query) (rows.Page, error) {
+	l.mu.Lock()
+	lost := !l.answered[q.Table]
+	l.answered[q.Table] = true
+	l.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return rows.Page{}, rows.ErrUnknown
+	}
+	return l.Store.Range(ctx, q)
+}
+
 func (l *lagging) Range(ctx context.Context, q rows.Query) (rows.Page, error) {
 	if page := l.snapshot.Load(); page != nil && q.Table == "upstreams" {
 		return *page, nil
@@ -201,3 +221,15 @@
 		return poll.Continue("told: %v", known)
 	}, poll.WithTimeout(3*time.Second), poll.WithDelay(20*time.Millisecond))
 }
+
+// All instances start again while the store loses single answers. Each must know
+// what it needs within a second, not when the whole read has timed out.
+func TestStartWhileAnswersAreLost(t *testing.T) {
+	d := &deployment{t: t, store: rows.NewMemory(), peer: &peer{}}
+	d.put("orders", "config", site.Config{Version: 1})
+	d.put("upstreams", "i-1", site.Upstream{Service: "s"})
+	d.watcher = newWatcher(t, &losing{Store: d.store, answered: make(map[string]bool)}, d.peer)
+	d.within(time.Second, "all tables", func(v *site.View) bool {
+		return v.Version == 1 && len(v.Pool("s")) == 1 && d.age() < time.Hour
+	})
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -33,8 +33,10 @@
 	feedHoldTime = 700 * time.Millisecond
 	// feedMargin is how much longer than the hold time a call may take.
 	feedMargin = 700 * time.Millisecond
-	// readTimeout bounds the read of a whole table.
-	readTimeout = 1500 * time.Millisecond
+	// readTimeout bounds the read of a whole table, and answerTimeout the
+	// first try of one call of it.
+	readTimeout   = 1500 * time.Millisecond
+	answerTimeout = 400 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call.
 	minRetryDelay = 40 * time.Millisecond
 	maxRetryDelay = 200 * time.Millisecond
@@ -384,7 +386,7 @@
 	var all []rows.Row
 	var version int64
 	if parts == nil {
-		existing, err := w.store.Parts(ctx, table)
+		existing, err := readAnswered(ctx, func(ctx context.Context) (rows.Parts, error) { return w.store.Parts(ctx, table) })
 		if err != nil {
 			return nil, 0, err
 		}
@@ -413,13 +415,27 @@
 	return all, version, nil
 }
 
+// readAnswered makes a read again if it has no answer in time: a store may lose
+// single answers, and a starting instance serves nobody meanwhile.
+func readAnswered[T any](ctx context.Context, read func(ctx context.Context) (T, error)) (T, error) {
+	for timeout := answerTimeout; ; timeout *= 2 {
+		callCtx, cancel := context.WithTimeout(ctx, timeout)
+		found, err := read(callCtx)
+		unanswered := err != nil && callCtx.Err() != nil
+		cancel()
+		if !unanswered || ctx.Err() != nil {
+			return found, err
+		}
+	}
+}
+
 // readPart reads a part of a table and returns the version of its first page.
 func (w *Watcher) readPart(ctx context.Context, table, part string) ([]rows.Row, int64, error) {
 	var all []rows.Row
 	var version int64
 	query := rows.Query{Table: table, Part: part, Limit: pageRows}
 	for more := true; more; {
-		page, err := w.store.Range(ctx, query)
+		page, err := readAnswered(ctx, func(ctx context.Context) (rows.Page, error) { return w.store.Range(ctx, query) })
 		if err != nil {
 			return nil, 0, err
 		}
