Tell a peer that returns an error from one that does not reply

Cause: any error of a handler came back as "peer unreachable", and the peer was ejected.

Change: an error of the handler, or a method that the peer doesn't know, is ErrFailed; the peer counts as reachable.

--- a/peer/errors.go
+++ b/peer/errors.go
@@ -10,6 +10,9 @@
 	// ErrUnreachable means that the peer sent no reply; it may have applied the
 	// request.
 	ErrUnreachable = errors.ConstError("peer unreachable")
+	// ErrFailed is an ErrUnreachable of a peer that did reply: its handler returned an
+	// error, or it doesn't know the method.
+	ErrFailed = errors.ConstError("peer failed the call")
 	// ErrTimeout means that no reply arrived in time; the peer may have applied
 	// the request.
 	ErrTimeout = errors.ConstError("peer timed out")
@@ -25,8 +28,10 @@
 		return errors.WithType(errors.New(s.Message()), ErrTimeout)
 	case codes.FailedPrecondition:
 		return errors.WithType(errors.New(s.Message()), ErrNotHome)
-	default:
+	case codes.Unavailable:
 		return errors.WithType(errors.New(s.Message()), ErrUnreachable)
+	default:
+		return errors.WithType(errors.WithType(errors.New(s.Message()), ErrFailed), ErrUnreachable)
 	}
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -244,7 +244,7 @@
 	defer cancel()
 	reply, err := method.Call(callCtx, conn, q)
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, peer.ErrFailed):
 		m.roster.MarkReachable(e.Name)
 	case ctx.Err() == nil:
 		m.roster.MarkFailed(e.Name, common.Uptime())
