--- a/budget/broker.go
+++ b/budget/broker.go
@@ -20,8 +20,6 @@
 	homeWait      = storeTimeout + 50*time.Millisecond
 	// homeMargin is the time for the way to the home and back.
 	homeMargin = 20 * time.Millisecond
-	// settleTimeout bounds the message that ends a reservation.
-	settleTimeout = 500 * time.Millisecond
 )
 
 type (
@@ -122,8 +120,6 @@
 		return
 	}
 	b.group.Go(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, settleTimeout)
-		defer cancel()
 		if err := b.homes.SettleAt(ctx, home, q); err != nil {
 			b.log.Debug("reservation was not settled at the program's home", "home", home, "error", err)
 		}
@@ -142,11 +138,15 @@
 // ReserveFor makes a reservation for another instance, which settles it. It waits
 // for the store as long as the request allows.
 func (l *Ledger) ReserveFor(ctx context.Context, q *ReserveRequest) *ReserveReply {
+	now := common.Uptime()
+	for _, r := range l.desk.expire(now) {
+		l.Settle(r.program, r.maxTokens, r.maxTokens)
+	}
 	waiting, cancel := context.WithTimeout(ctx, q.Wait)
 	defer cancel()
-	err := l.Reserve(waiting, q.Program, q.Total, q.MaxTokens, common.Uptime())
+	err := l.Reserve(waiting, q.Program, q.Total, q.MaxTokens, now)
 	switch {
-	case err == nil && l.desk.add(q.ID, reserved{program: q.Program, maxTokens: q.MaxTokens}):
+	case err == nil && l.desk.add(q.ID, reserved{program: q.Program, maxTokens: q.MaxTokens, at: now}):
 		return &ReserveReply{Outcome: Reserved}
 	case err == nil:
 		l.Settle(q.Program, q.MaxTokens, 0)
--- a/budget/desk.go
+++ b/budget/desk.go
@@ -5,9 +5,14 @@
 	"time"
 )
 
-// cancelledTTL is how long a cancelled reservation is remembered, in case its
-// request arrives later.
-const cancelledTTL = 10 * time.Second
+const (
+	// cancelledTTL is how long a cancelled reservation is remembered, in case its
+	// request arrives later.
+	cancelledTTL = 10 * time.Second
+	// reservationTTL is the time after which a reservation counts as spent: it
+	// exceeds any turn, so the asker has failed.
+	reservationTTL = 10 * time.Minute
+)
 
 type (
 	// desk holds the reservations that this instance's ledger made for others.
@@ -21,6 +26,7 @@
 	reserved struct {
 		program   string
 		maxTokens int
+		at        time.Duration
 	}
 )
 
@@ -49,14 +55,30 @@
 		delete(d.reservations, id)
 		return r, true
 	}
-	if now >= d.sweepAt {
-		d.sweepAt = now + cancelledTTL
-		for other, at := range d.cancelled {
-			if now-at > cancelledTTL {
-				delete(d.cancelled, other)
-			}
-		}
-	}
 	d.cancelled[id] = now
 	return reserved{}, false
 }
+
+// expire removes and returns the reservations whose askers have failed, and forgets
+// old cancelled ones.
+func (d *desk) expire(now time.Duration) []reserved {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now < d.sweepAt {
+		return nil
+	}
+	d.sweepAt = now + cancelledTTL
+	for id, at := range d.cancelled {
+		if now-at > cancelledTTL {
+			delete(d.cancelled, id)
+		}
+	}
+	var expired []reserved
+	for id, r := range d.reservations {
+		if now-r.at > reservationTTL {
+			delete(d.reservations, id)
+			expired = append(expired, r)
+		}
+	}
+	return expired
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -234,8 +234,8 @@
 }
 
 // Rank returns this instance's rank in rendezvous order for the name, and the
-// number of instances. An instance that isn't listed comes last. It caches the ranks of all names, so that requests don't
-// score the whole list.
+// number of instances. An instance that isn't listed comes last. It caches the
+// ranks of all names, so that requests don't score the whole list.
 func (r *Roster) Rank(name string) (rank, instances int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/watch/prober.go
+++ b/watch/prober.go
@@ -47,8 +47,8 @@
 
 // read starts a call and waits for one interval until any call is answered. It is
 // used by one goroutine.
-func (p *prober) read(ctx context.Context, f feed, version int64, _ bool) (rows.Page, time.Duration, error) {
-	if p.running < maxProbes && p.watcher.group.Go(func(ctx context.Context) { p.call(ctx, f, version) }) {
+func (p *prober) read(ctx context.Context, table string, version int64) (rows.Page, time.Duration, error) {
+	if p.running < maxProbes && p.watcher.group.Go(func(ctx context.Context) { p.call(ctx, table, version) }) {
 		p.running++
 	}
 	timer := time.NewTimer(p.watcher.probeInterval())
@@ -68,11 +68,11 @@
 	}
 }
 
-func (p *prober) call(ctx context.Context, f feed, version int64) {
+func (p *prober) call(ctx context.Context, table string, version int64) {
 	start := common.Uptime()
 	ctx, cancel := context.WithTimeout(ctx, feedMargin)
 	defer cancel()
-	page, err := p.watcher.store.Feed(ctx, f.table, version, 0)
+	page, err := p.watcher.store.Feed(ctx, table, version, 0)
 	p.replies <- probeReply{page: page, start: start, err: err}
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -328,11 +328,13 @@
 		w.wasRead(f.table)
 		return newest, nil
 	}
-	read := w.readChanges
+	var page rows.Page
+	var start time.Duration
 	if lost && f.prober != nil {
-		read = f.prober.read
+		page, start, err = f.prober.read(ctx, f.table, version)
+	} else {
+		page, start, err = w.readChanges(ctx, f, version, lost)
 	}
-	page, start, err := read(ctx, f, version, lost)
 	if err != nil {
 		return 0, err
 	}
