Close idle connections at a planned stop only by a server that shuts down

Turning keep-alive off closes connections that count as idle until a request is read whole; a server that shuts down drops such a request, one that doesn't serves it.

Change: the stop closes the listener, waits until nothing is pending, with idle connections still served, and then shuts the server down.

--- a/front/stop.go
+++ b/front/stop.go
@@ -41,16 +41,20 @@
 	f.log.Info("drain finished", "error", err, "rosterError", removeErr)
 }
 
-// finishCallers accepts no more connections, and waits until every request that was
-// accepted is answered, or until the context ends. It does not shut the server
-// down before: that would drop requests that have just been read.
+// finishCallers accepts no more connections, waits until every request that was
+// accepted is answered, or until the context ends, and then closes the idle
+// connections. It does not shut the server down before: that would drop requests
+// that have just been read on new connections. Nothing else may close idle
+// connections, since a request that is read meanwhile would be passed on without a
+// way for its answer; only a server that shuts down drops it.
 func (f *Front) finishCallers(ctx context.Context) error {
-	err := f.listeners[callerListener].Close()
-	f.callerServer.SetKeepAlivesEnabled(false)
+	if err := f.listeners[callerListener].Close(); err != nil {
+		f.log.Warn("close of the callers' listener failed", "error", err)
+	}
 	for f.callers.pending(firstRequestTime) {
 		if !group.Sleep(ctx, callersInterval) {
-			return ctx.Err()
+			break
 		}
 	}
-	return err
+	return f.callerServer.Shutdown(ctx)
 }
