Send the end of a reservation until its home can be reached

Change: it is sent again after 0.25 to 4 s, unless the home's process has ended.

Whether this was the cause of the LOST is not shown.

--- a/budget/broker.go
+++ b/budget/broker.go
@@ -20,6 +20,10 @@
 	homeWait      = storeTimeout + 50*time.Millisecond
 	// homeMargin is the time for the way to the home and back.
 	homeMargin = 20 * time.Millisecond
+	// minSettleInterval and maxSettleInterval bound the pauses between two messages
+	// that end a reservation; together they outlast the ejection of a home.
+	minSettleInterval = 250 * time.Millisecond
+	maxSettleInterval = 4 * time.Second
 )
 
 type (
@@ -30,7 +34,8 @@
 		// ReserveAtHome makes the reservation at the program's home, and returns the
 		// home's holder name. An error means that it may have been made.
 		ReserveAtHome(ctx context.Context, q *ReserveRequest, timeout time.Duration) (*ReserveReply, string, error)
-		// SettleAt ends a reservation at the process with the holder name.
+		// SettleAt ends a reservation at the process with the holder name, or does
+		// nothing if that has ended.
 		SettleAt(ctx context.Context, home string, q *SettleRequest) error
 	}
 
@@ -113,16 +118,23 @@
 	}
 }
 
-// settle ends a reservation at another instance. It is sent once: a reservation that
-// isn't ended counts as spent.
+// settle ends a reservation at another instance, and tries again while that can't be
+// reached: a reservation that isn't ended counts as spent.
 func (b *Broker) settle(home string, q *SettleRequest) {
 	if home == "" {
 		return
 	}
 	b.group.Go(func(ctx context.Context) {
-		if err := b.homes.SettleAt(ctx, home, q); err != nil {
-			b.log.Debug("reservation was not settled at the program's home", "home", home, "error", err)
+		var err error
+		for interval := minSettleInterval; interval <= maxSettleInterval; interval *= 2 {
+			if err = b.homes.SettleAt(ctx, home, q); err == nil {
+				return
+			}
+			if !group.Sleep(ctx, interval) {
+				break
+			}
 		}
+		b.log.Info("reservation was not settled at the program's home; its tokens count as spent", "home", home, "error", err)
 	})
 }
 
--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntide/buckthorntide/budget"
@@ -62,7 +63,10 @@
 	e.fleet.mu.Lock()
 	l, ok := e.fleet.ledgers[holder]
 	e.fleet.mu.Unlock()
-	if !ok || homeFault(e.fault.Load()) == homeUnreachable {
+	if !ok {
+		return nil
+	}
+	if homeFault(e.fault.Load()) == homeUnreachable {
 		return errGone
 	}
 	l.SettleFor(q)
@@ -251,3 +255,26 @@
 	}
 	return handed
 }
+
+// The home can't be reached as a turn ends. The end must reach it later, or the
+// program is told too soon that its budget is spent.
+func TestReservationEndsWhenTheHomeIsBack(t *testing.T) {
+	const maxTokens = 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	broker, e := f.newBroker()
+	defer broker.Close()
+	r, err := broker.Reserve(t.Context(), "p", maxTokens, maxTokens)
+	assert.NilError(t, err)
+	e.fault.Store(int64(homeUnreachable))
+	r.Settle(0)
+	time.Sleep(300 * time.Millisecond)
+	e.fault.Store(int64(homeAnswers))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r, err = broker.Reserve(t.Context(), "p", maxTokens, maxTokens); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(50*time.Millisecond))
+	r.Settle(0)
+}
--- a/peers/home.go
+++ b/peers/home.go
@@ -51,11 +51,12 @@
 	return reply, HolderName(home), err
 }
 
-// SettleAt ends a reservation at the process with the holder name.
+// SettleAt ends a reservation at the process with the holder name, or does nothing
+// if that has ended.
 func (m *Client) SettleAt(ctx context.Context, home string, q *budget.SettleRequest) error {
 	e, err := m.holder(home)
 	if err != nil {
-		return err
+		return nil
 	}
 	_, err = call(ctx, m, budget.Settle, e, q, settleTimeout)
 	return err
