Log what connections requests come on, and which a drain waits for

The logs of a planned stop could not tell on what kind of connection a late request had come, nor which connections the drain was waiting for. The line of a request now has the number of requests on its connection, how long that was idle before, and how long the instance had been draining; the steps of a drain count the callers' connections by state. No decision has changed.

--- a/front/callers.go
+++ b/front/callers.go
@@ -1,41 +1,65 @@
 package front
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/proxy"
 )
 
-// callerConns tracks the callers' connections that have a request or may be about
-// to send their first one.
-type callerConns struct {
-	mu   sync.Mutex
-	busy map[net.Conn]busyConn
-}
+type (
+	// callerConns tracks the callers' connections.
+	callerConns struct {
+		mu    sync.Mutex
+		conns map[net.Conn]*callerConn
+	}
 
-type busyConn struct {
-	// accepted is when the connection was accepted, if it had no request yet.
-	accepted time.Duration
-	active   bool
-}
+	// callerConn is one connection of a caller.
+	callerConn struct {
+		proxy.CallerConn
+		state http.ConnState
+		// since is when the state began, on the clock of common.Uptime.
+		since time.Duration
+	}
 
-func newCallerConns() *callerConns { return &callerConns{busy: make(map[net.Conn]busyConn)} }
+	// connCounts counts the callers' connections by state: fresh ones were accepted
+	// and have sent no request yet.
+	connCounts struct {
+		fresh, active, idle int
+	}
+)
+
+func newCallerConns() *callerConns { return &callerConns{conns: make(map[net.Conn]*callerConn)} }
+
+// connContext is the server's hook for a new connection's context.
+func (c *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
+	caller := &callerConn{state: http.StateNew, since: common.Uptime()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns[conn] = caller
+	return proxy.WithCallerConn(ctx, &caller.CallerConn)
+}
 
 // setState is the server's hook for changes of a connection's state.
 func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		c.busy[conn] = busyConn{accepted: common.Uptime()}
-	case http.StateActive:
-		c.busy[conn] = busyConn{active: true}
-	default:
-		delete(c.busy, conn)
+	caller, ok := c.conns[conn]
+	switch {
+	case !ok:
+		return
+	case state == http.StateClosed || state == http.StateHijacked:
+		delete(c.conns, conn)
+		return
+	case state == http.StateActive:
+		caller.Requests++
+		caller.Waited = common.Uptime() - caller.since
 	}
+	caller.state, caller.since = state, common.Uptime()
 }
 
 // pending reports whether a request is in progress, or may still arrive on a
@@ -44,10 +68,28 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := common.Uptime()
-	for _, b := range c.busy {
-		if b.active || now-b.accepted < firstRequest {
+	for _, caller := range c.conns {
+		if caller.state == http.StateActive || caller.state == http.StateNew && now-caller.since < firstRequest {
 			return true
 		}
 	}
 	return false
 }
+
+func (c *callerConns) counts() connCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var n connCounts
+	for _, caller := range c.conns {
+		switch caller.state {
+		case http.StateNew:
+			n.fresh++
+		case http.StateActive:
+			n.active++
+		case http.StateIdle:
+			n.idle++
+		default:
+		}
+	}
+	return n
+}
--- a/front/front.go
+++ b/front/front.go
@@ -199,6 +199,7 @@
 		Handler:           f.proxy,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		ConnContext:       f.callers.connContext,
 		ConnState:         f.callers.setState,
 	}
 	f.readyServer = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerTimeout}
--- a/front/stop.go
+++ b/front/stop.go
@@ -30,7 +30,7 @@
 	deadline := time.Now().Add(grace - stopMargin)
 	f.stopping.Store(true)
 	f.proxy.Drain()
-	f.log.Info("drain started", "grace", grace)
+	f.logDrain("drain started", "grace", grace)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	group.Sleep(ctx, balancerDelay)
@@ -38,7 +38,13 @@
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelDeregister()
 	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
-	f.log.Info("drain finished", "error", err, "rosterError", removeErr)
+	f.logDrain("drain finished", "error", err, "rosterError", removeErr)
+}
+
+// logDrain logs a step of the drain with the callers' connections that are left.
+func (f *Front) logDrain(step string, fields ...any) {
+	n := f.callers.counts()
+	f.log.Info(step, append(fields, "fresh", n.fresh, "active", n.active, "idle", n.idle)...)
 }
 
 // finishCallers accepts no more connections, waits until every request that was
@@ -51,6 +57,7 @@
 	if err := f.listeners[callerListener].Close(); err != nil {
 		f.log.Warn("close of the callers' listener failed", "error", err)
 	}
+	f.logDrain("no new connections accepted")
 	for f.callers.pending(firstRequestTime) {
 		if !group.Sleep(ctx, callersInterval) {
 			break
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -88,6 +88,7 @@
 		view:   g.Views.View(),
 		config: g.config.Load(),
 		start:  time.Now(),
+		record: record{conn: callerConnOf(r.Context()), draining: g.drainingFor()},
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -95,14 +96,14 @@
 		meter    *meter
 		attempts *attempts
 		config   atomic.Pointer[Config]
-		// leaving is closed once callers should use other instances.
-		leaving chan struct{}
+		// drainedSince is when Drain was called, on the clock of common.Uptime, or 0.
+		drainedSince atomic.Int64
 	}
 )
 
 // NewProxy returns a proxy with the given dependencies and settings.
 func NewProxy(parts Deps, config Config) *Proxy {
-	g := &Proxy{Deps: parts, meter: newMeter(parts.Metrics), attempts: newAttempts(), leaving: make(chan struct{})}
+	g := &Proxy{Deps: parts, meter: newMeter(parts.Metrics), attempts: newAttempts()}
 	g.Configure(config)
 	return g
 }
@@ -111,17 +112,24 @@
 func (g *Proxy) Configure(config Config) { g.config.Store(&config) }
 
 // Drain makes every response close its connection, so that callers reconnect to
-// other instances. It must be called at most once.
-func (g *Proxy) Drain() { close(g.leaving) }
+// other instances.
+func (g *Proxy) Drain() { g.drainedSince.CompareAndSwap(0, int64(common.Uptime())) }
+
+// drainingFor returns how long callers have been asked to use other instances, or 0.
+func (g *Proxy) drainingFor() time.Duration {
+	since := time.Duration(g.drainedSince.Load())
+	if since == 0 {
+		return 0
+	}
+	return max(1, common.Uptime()-since)
+}
 
 // ServeHTTP admits one request, forwards it and logs its outcome.
 func (g *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	select {
-	case <-g.leaving:
+	x := newExchange(g, w, r)
+	if x.record.draining > 0 {
 		w.Header().Set("Connection", "close")
-	default:
 	}
-	x := newExchange(g, w, r)
 	defer x.report()
 	if !x.admit() {
 		return
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -16,6 +16,10 @@
 type (
 	// record collects the values of a request's log line.
 	record struct {
+		conn CallerConn
+		// draining is how long the instance had been draining when the request was
+		// accepted, or 0.
+		draining time.Duration
 		// configAge is the age of the view of routes and keys.
 		configAge time.Duration
 		status    int
@@ -80,7 +84,8 @@
 		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
 		"budgetMs", x.record.budgetTime.Milliseconds(), "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
 		"totalMs", elapsed.Milliseconds(), "patienceMs", x.call.Timeout.Milliseconds(),
-		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted)
+		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted,
+		"connRequests", x.record.conn.Requests, "connWaitMs", x.record.conn.Waited.Milliseconds(), "drainingMs", x.record.draining.Milliseconds())
 	if x.record.aborted {
 		panic(http.ErrAbortHandler)
 	}
