Close idle connections when a planned stop ends new ones

Callers of the second site had streams cut in the middle, 7.3 s after the SIGTERM of an instance that had accepted them 6.5 s after it.

Cause: a drain closed idle connections only once no request was in progress. Each caller could send one more request on the connection that it had kept, and each such request prolonged the wait, so requests were accepted up to the end of the grace period and cut there. Closing the connections earlier used to lose requests: net/http marks a connection idle until its next request is parsed.

Change: an instance decides under one lock whether a connection is closed or its request handled, and a request on a closed connection is dropped before it is passed on. Idle connections are closed once new ones are no longer accepted, those that have sent no request half a second later; so nothing is accepted later than 3 s after the signal. A short grace period is divided instead of being used up by the balancer's delay.

--- a/front/callers.go
+++ b/front/callers.go
@@ -2,20 +2,37 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/proxy"
 )
 
+// closeBatch is how many connections are closed at a time, and closePause the time
+// between two batches. A thousand take a quarter of a second.
+const (
+	closeBatch = 8
+	closePause = 2 * time.Millisecond
+)
+
 type (
-	// callerConns tracks the callers' connections.
+	// callerConns tracks the callers' connections and closes those without a request
+	// in a planned stop. Whether a connection is closed or its request accepted is
+	// decided under one lock, so that no request is passed on whose answer has no
+	// connection left.
 	callerConns struct {
 		mu    sync.Mutex
 		conns map[net.Conn]*callerConn
+		// closing are the states in which connections are closed from now on.
+		closing map[http.ConnState]bool
+		// dropped counts requests that crossed the close of their connection.
+		dropped int
 	}
 
 	// callerConn is one connection of a caller.
@@ -23,17 +40,51 @@
 		proxy.CallerConn
 		state http.ConnState
 		// since is when the state began, on the clock of common.Uptime.
-		since time.Duration
+		since  time.Duration
+		closed bool
 	}
 
 	// connCounts counts the callers' connections by state: fresh ones were accepted
 	// and have sent no request yet.
 	connCounts struct {
 		fresh, active, idle int
+		// dropped counts requests that crossed the close of their connection.
+		dropped int
 	}
+
+	// callerConnKey is the context key of a callerConn.
+	callerConnKey struct{}
 )
 
-func newCallerConns() *callerConns { return &callerConns{conns: make(map[net.Conn]*callerConn)} }
+func newCallerConns() *callerConns {
+	return &callerConns{conns: make(map[net.Conn]*callerConn), closing: make(map[http.ConnState]bool)}
+}
+
+// handler passes requests to the next handler unless their connection was closed
+// before they were read.
+func (c *callerConns) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller, ok := r.Context().Value(callerConnKey{}).(*callerConn)
+		if ok && !c.begin(caller) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// begin reports whether a request of the connection may be handled.
+func (c *callerConns) begin(caller *callerConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if caller.closed {
+		c.dropped++
+		return false
+	}
+	// The server doesn't report a request that it had read together with the one
+	// before.
+	caller.enter(http.StateActive)
+	return true
+}
 
 // connContext is the server's hook for a new connection's context.
 func (c *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
@@ -41,7 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[conn] = caller
-	return proxy.WithCallerConn(ctx, &caller.CallerConn)
+	return proxy.WithCallerConn(context.WithValue(ctx, callerConnKey{}, caller), &caller.CallerConn)
 }
 
 // setState is the server's hook for changes of a connection's state.
@@ -55,40 +106,78 @@
 	case state == http.StateClosed || state == http.StateHijacked:
 		delete(c.conns, conn)
 		return
-	case state == http.StateActive:
-		caller.Requests++
-		caller.Waited = common.Uptime() - caller.since
 	}
-	caller.state, caller.since = state, common.Uptime()
+	caller.enter(state)
+	if c.closing[state] {
+		caller.close(conn)
+	}
+}
+
+// enter changes the connection's state.
+func (c *callerConn) enter(state http.ConnState) {
+	if c.state == state {
+		return
+	}
+	now := common.Uptime()
+	if state == http.StateActive {
+		c.Requests++
+		c.Waited = now - c.since
+	}
+	c.state, c.since = state, now
+}
+
+func (c *callerConn) close(conn net.Conn) {
+	if c.closed {
+		return
+	}
+	c.closed = true
+	// The server reports the close again and logs nothing about it.
+	_ = conn.Close()
 }
 
-// pending reports whether a request is in progress, or may still arrive on a
-// connection that was accepted less than the time ago.
-func (c *callerConns) pending(firstRequest time.Duration) bool {
+// closeAll closes the connections in the state, now and whenever one enters it. It
+// pauses after each batch, so that requests which have arrived meanwhile are read and
+// answered instead of being dropped.
+func (c *callerConns) closeAll(ctx context.Context, state http.ConnState) {
+	c.mu.Lock()
+	c.closing[state] = true
+	conns := slices.Collect(maps.Keys(c.conns))
+	c.mu.Unlock()
+	for batch := range slices.Chunk(conns, closeBatch) {
+		if c.closeBatch(batch, state) > 0 {
+			group.Sleep(ctx, closePause)
+		}
+	}
+}
+
+// closeBatch closes those of the connections that are in the state and returns their
+// number.
+func (c *callerConns) closeBatch(batch []net.Conn, state http.ConnState) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := common.Uptime()
-	for _, caller := range c.conns {
-		if caller.state == http.StateActive || caller.state == http.StateNew && now-caller.since < firstRequest {
-			return true
+	closed := 0
+	for _, conn := range batch {
+		if caller, ok := c.conns[conn]; ok && caller.state == state && !caller.closed {
+			caller.close(conn)
+			closed++
 		}
 	}
-	return false
+	return closed
 }
 
 func (c *callerConns) counts() connCounts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var n connCounts
+	n := connCounts{dropped: c.dropped}
 	for _, caller := range c.conns {
-		switch caller.state {
-		case http.StateNew:
+		switch {
+		case caller.closed:
+		case caller.state == http.StateNew:
 			n.fresh++
-		case http.StateActive:
+		case caller.state == http.StateActive:
 			n.active++
-		case http.StateIdle:
+		case caller.state == http.StateIdle:
 			n.idle++
-		default:
 		}
 	}
 	return n
--- a/front/front.go
+++ b/front/front.go
@@ -196,7 +196,7 @@
 	f.peerServer = server
 	f.peerServer.Register(f.peers.Handlers(f.buckets, f.keeper, f.watcher, f.direct)...)
 	f.callerServer = &http.Server{
-		Handler:           f.proxy,
+		Handler:           f.callers.handler(f.proxy),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
 		ConnContext:       f.callers.connContext,
--- a/front/stop.go
+++ b/front/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/group"
@@ -13,27 +14,43 @@
 	// instance has become not ready: two health checks of the balancer a second
 	// apart, and a margin.
 	balancerDelay = 2500 * time.Millisecond
+	// firstRequestTime is how long after that connections without a request may
+	// send their first one.
+	firstRequestTime = 500 * time.Millisecond
 	// stopMargin is the end of the grace period, reserved for the last writes.
 	stopMargin = 700 * time.Millisecond
-	// firstRequestTime is how long a connection that was just accepted may take to
-	// send its first request, and callersInterval the time between two checks.
-	firstRequestTime = time.Second
-	callersInterval  = 20 * time.Millisecond
+	// maxMarginFraction bounds stopMargin to a part of a short grace period.
+	maxMarginFraction = 8
+	// callersInterval is the time between two checks for requests in progress.
+	callersInterval = 20 * time.Millisecond
 	// deregisterTimeout bounds the removal of this instance from the roster.
 	deregisterTimeout = 300 * time.Millisecond
 )
 
+// stopPlan divides the grace period of a planned stop.
+type stopPlan struct {
+	// accept is how long new connections are accepted.
+	accept time.Duration
+	// answer is how long requests in progress may take, from the stop signal.
+	answer time.Duration
+}
+
+func newStopPlan(grace time.Duration) stopPlan {
+	answer := grace - min(stopMargin, grace/maxMarginFraction)
+	return stopPlan{accept: min(balancerDelay, answer/2), answer: answer}
+}
+
 // Drain stops the instance gracefully: the readiness check fails first, callers
 // are asked to reconnect elsewhere, and answers in flight are completed.
 func (f *Front) Drain() {
 	grace := time.Duration(f.reloadable.Load().StopGrace)
-	deadline := time.Now().Add(grace - stopMargin)
+	plan := newStopPlan(grace)
+	ctx, cancel := context.WithTimeout(context.Background(), plan.answer)
+	defer cancel()
 	f.stopping.Store(true)
 	f.proxy.Drain()
 	f.logDrain("drain started", "grace", grace)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	group.Sleep(ctx, balancerDelay)
+	group.Sleep(ctx, plan.accept)
 	err := f.finishCallers(ctx)
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelDeregister()
@@ -44,24 +61,34 @@
 // logDrain logs a step of the drain with the callers' connections that are left.
 func (f *Front) logDrain(step string, fields ...any) {
 	n := f.callers.counts()
-	f.log.Info(step, append(fields, "fresh", n.fresh, "active", n.active, "idle", n.idle)...)
+	f.log.Info(step, append(fields, "fresh", n.fresh, "active", n.active, "idle", n.idle, "dropped", n.dropped)...)
 }
 
-// finishCallers accepts no more connections, waits until every request that was
-// accepted is answered, or until the context ends, and then closes the idle
-// connections. It does not shut the server down before: that would drop requests
-// that have just been read on new connections. Nothing else may close idle
-// connections, since a request that is read meanwhile would be passed on without a
-// way for its answer; only a server that shuts down drops it.
+// finishCallers accepts no more connections and closes idle ones, so that requests
+// in progress are not joined by later ones that the grace period may cut. It waits
+// until all are answered, or until the context ends. The server is shut down last:
+// it would drop requests that have just been read on new connections.
 func (f *Front) finishCallers(ctx context.Context) error {
 	if err := f.listeners[callerListener].Close(); err != nil {
 		f.log.Warn("close of the callers' listener failed", "error", err)
 	}
 	f.logDrain("no new connections accepted")
-	for f.callers.pending(firstRequestTime) {
-		if !group.Sleep(ctx, callersInterval) {
-			break
+	f.callers.closeAll(ctx, http.StateIdle)
+	firstCtx, cancel := context.WithTimeout(ctx, firstRequestTime)
+	defer cancel()
+	f.waitCallers(firstCtx)
+	f.callers.closeAll(ctx, http.StateNew)
+	f.waitCallers(ctx)
+	return f.callerServer.Shutdown(ctx)
+}
+
+// waitCallers waits until no request is in progress and no connection without a
+// request is left, or until the context ends.
+func (f *Front) waitCallers(ctx context.Context) {
+	for {
+		n := f.callers.counts()
+		if n.active == 0 && n.fresh == 0 || !group.Sleep(ctx, callersInterval) {
+			return
 		}
 	}
-	return f.callerServer.Shutdown(ctx)
 }
--- /dev/null
+++ b/front/stop_test.go
@@ -0,0 +1,25 @@
+package front
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against short grace periods that end before any request is answered.
+func TestStopPlan(t *testing.T) {
+	tests := []struct {
+		name  string
+		grace time.Duration
+		want  stopPlan
+	}{
+		{"usual", 8 * time.Second, stopPlan{accept: 2500 * time.Millisecond, answer: 7300 * time.Millisecond}},
+		{"long", time.Minute, stopPlan{accept: 2500 * time.Millisecond, answer: 59300 * time.Millisecond}},
+		{"short", 2 * time.Second, stopPlan{accept: 875 * time.Millisecond, answer: 1750 * time.Millisecond}},
+		{"none", 0, stopPlan{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) { assert.Equal(t, newStopPlan(tt.grace), tt.want) })
+	}
+}
