--- a/trial/cluster_test.go
+++ b/trial/cluster_test.go
@@ -111,8 +111,8 @@
 
 func domain(i int) string { return string(rune('a' + i%3)) }
 
-// addInstance starts one more instance.
-func (c *cluster) addInstance(domain string) *instance {
+// addInstance starts one more instance, with further arguments.
+func (c *cluster) addInstance(domain string, more ...string) *instance {
 	host := c.nextHost()
 	i := &instance{
 		name:    fmt.Sprintf("i%d", len(c.instances)+1),
@@ -120,9 +120,12 @@
 		address: host + ":8080",
 		admin:   host + ":8081",
 	}
-	i.process = startProcess(c.t, []string{"BUCKTHORNTIDE_ADMIN_KEY=" + adminKey}, "serve",
+	args := append([]string{
+		"serve",
 		"-name", i.name, "-domain", domain, "-platform", c.platform.Address(),
-		"-listen", i.address, "-admin", i.admin, "-peer", host+":8082", "-log", "debug")
+		"-listen", i.address, "-admin", i.admin, "-peer", host + ":8082", "-log", "debug",
+	}, more...)
+	i.process = startProcess(c.t, []string{"BUCKTHORNTIDE_ADMIN_KEY=" + adminKey}, args...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.instances = append(c.instances, i)
