Ignore further signals during a drain

A second SIGTERM or a SIGHUP during a planned stop ended the process at once, with every request that it had accepted. Stops and changes of settings come in series and overlap.

Cause: the run group stops to receive signals when it ends, before the drain, and gives them their default action back. Change: signals are received from the start of the process to its end, so a SIGHUP before the settings are watched is kept too.

--- a/boot/front.go
+++ b/boot/front.go
@@ -4,10 +4,8 @@
 	"context"
 	"flag"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -36,6 +34,8 @@
 
 // front runs an instance on the operators' platform until a signal arrives.
 func (a *App) front(args []string) int {
+	sig := notifySignals()
+	defer sig.Close()
 	file, err := a.frontSettingsFile(args)
 	if err != nil {
 		return a.fail(exitBadInput, err)
@@ -61,13 +61,12 @@
 	defer f.Close()
 	f.Start()
 	var actors run.Group
-	actors.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	actors.Add(sig.actor())
 	ctx, cancel := context.WithCancel(context.Background())
-	actors.Add(func() error { return watchSettings(ctx, file, log, f.Reload) }, func(error) { cancel() })
+	actors.Add(func() error { return watchSettings(ctx, file, sig.reload, log, f.Reload) }, func(error) { cancel() })
 	err = actors.Run()
 	f.Drain()
-	var stopped *run.SignalError
-	if err != nil && !errors.As(err, &stopped) && !errors.Is(err, run.ErrSignal) {
+	if err != nil && !errors.Is(err, errStopSignal) {
 		return a.fail(exitFailed, err)
 	}
 	return exitOK
@@ -90,10 +89,7 @@
 // watchSettings polls the settings file and reloads the settings on SIGHUP and
 // when they have changed. An unreadable or invalid file leaves the current
 // settings in force.
-func watchSettings(ctx context.Context, file string, log hclog.Logger, reload func(conf.FrontSettings)) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func watchSettings(ctx context.Context, file string, hangups <-chan os.Signal, log hclog.Logger, reload func(conf.FrontSettings)) error {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	current, err := readFrontSettings(file)
--- a/boot/serve.go
+++ b/boot/serve.go
@@ -5,7 +5,6 @@
 	"flag"
 	"os"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,6 +22,8 @@
 const errDrained = errors.ConstError("planned stop")
 
 func (a *App) serve(args []string) int {
+	sig := notifySignals()
+	defer sig.Close()
 	settings, err := a.settings(args)
 	if err != nil {
 		return a.fail(exitBadInput, err)
@@ -40,7 +41,7 @@
 	if err != nil {
 		return a.fail(exitFailed, err)
 	}
-	if err := runNode(node, time.Duration(settings.DrainTimeout)); err != nil {
+	if err := runNode(node, sig, time.Duration(settings.DrainTimeout)); err != nil {
 		return a.fail(exitFailed, err)
 	}
 	return exitOK
@@ -48,13 +49,13 @@
 
 // runNode runs the instance until a signal arrives or an operator requests a
 // drain, then drains and closes it.
-func runNode(node *Node, drainTimeout time.Duration) error {
+func runNode(node *Node, sig *signals, drainTimeout time.Duration) error {
 	if err := node.Start(); err != nil {
 		node.Close()
 		return err
 	}
 	var group run.Group
-	group.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	group.Add(sig.actor())
 	stop := make(chan struct{})
 	group.Add(func() error {
 		select {
@@ -69,8 +70,7 @@
 	defer cancel()
 	drainErr := node.Drain(ctx)
 	node.Close()
-	var signal *run.SignalError
-	if err != nil && !errors.Is(err, errDrained) && !errors.As(err, &signal) && !errors.Is(err, run.ErrSignal) {
+	if err != nil && !errors.Is(err, errDrained) && !errors.Is(err, errStopSignal) {
 		return err
 	}
 	return drainErr
