Refuse late in a planned stop what may outlast it

A request whose head came before the stop signal and whose body ended 0.4 s before the end of the drain was passed on and cut. Between the end of a body and the send lie quota, previous turns and budget, each of which may wait, and nothing looked at the drain's end: the same class as requests on idle connections.

Change: the proxy knows until when it passes on every request and when the instance ends. Later requests are refused with 503, which is true, once their answer may come after that; this is checked once the body is read and before each attempt while none has run.

--- a/front/stop.go
+++ b/front/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/proxy"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -45,10 +46,11 @@
 func (f *Front) Drain() {
 	grace := time.Duration(f.reloadable.Load().StopGrace)
 	plan := newStopPlan(grace)
-	ctx, cancel := context.WithTimeout(context.Background(), plan.answer)
+	start := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.answer))
 	defer cancel()
 	f.stopping.Store(true)
-	f.proxy.Drain()
+	f.proxy.Drain(proxy.DrainPlan{AcceptUntil: start.Add(plan.accept + firstRequestTime), AnswerBy: start.Add(plan.answer)})
 	f.logDrain("drain started", "grace", grace)
 	group.Sleep(ctx, plan.accept)
 	err := f.finishCallers(ctx)
--- /dev/null
+++ b/proxy/drain.go
@@ -0,0 +1,46 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/buckthorntide/buckthorntide/common"
+)
+
+// DrainPlan is how a planned stop treats requests.
+type DrainPlan struct {
+	// AcceptUntil is until when every request is passed on. Later ones are refused
+	// if they may last longer than until AnswerBy, when the instance ends.
+	AcceptUntil time.Time
+	AnswerBy    time.Time
+}
+
+// drain is a planned stop in progress.
+type drain struct {
+	DrainPlan
+	// since is on the clock of common.Uptime.
+	since time.Duration
+}
+
+// Drain makes every response close its connection, so that callers reconnect to
+// other instances, and refuses requests by the plan. Later calls change nothing.
+func (g *Proxy) Drain(plan DrainPlan) {
+	g.drain.CompareAndSwap(nil, &drain{DrainPlan: plan, since: common.Uptime()})
+}
+
+// drainingFor returns how long callers have been asked to use other instances, or 0.
+func (g *Proxy) drainingFor() time.Duration {
+	d := g.drain.Load()
+	if d == nil {
+		return 0
+	}
+	return max(1, common.Uptime()-d.since)
+}
+
+// checkDrain refuses a request that may not be answered before the instance ends.
+func (x *exchange) checkDrain() *refusal {
+	d := x.proxy.drain.Load()
+	if d == nil || time.Now().Before(d.AcceptUntil) || !x.answerDeadline().After(d.AnswerBy) {
+		return nil
+	}
+	return refuseNotReady("the instance stops before the answer is due")
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -60,6 +60,7 @@
 		{run: x.findRoute},
 		{run: x.checkKey},
 		{run: x.readBody},
+		{run: x.checkDrain},
 		{x.takeQuota, &x.record.quotaTime},
 		{x.prependTurns, &x.record.turnsTime},
 		{x.reserveBudget, &x.record.budgetTime},
@@ -283,6 +284,15 @@
 	return x.callerDeadline
 }
 
+// answerDeadline returns when the whole answer is due at the latest. The route's
+// timeout bounds the start of a stream, the caller's its end.
+func (x *exchange) answerDeadline() time.Time {
+	if x.route.Kind == site.Stream {
+		return x.callerDeadline
+	}
+	return x.deadline()
+}
+
 // programKey identifies the program among those of all teams.
 func (x *exchange) programKey() string {
 	return x.teamName() + "/" + x.call.Program
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -108,6 +108,8 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: "no time is left"}
 	case x.record.runs >= x.route.MaxAttempts || x.record.attempts >= maxSends:
 		return &refusal{status: http.StatusBadGateway, reason: "no attempts are left"}
+	case x.record.runs == 0:
+		return x.checkDrain()
 	default:
 		return nil
 	}
@@ -251,10 +253,6 @@
 }
 
 func (x *exchange) request(ctx context.Context, u *site.Upstream, d *delivery) *http.Request {
-	left := time.Until(x.callerDeadline)
-	if x.route.Kind != site.Stream {
-		left = time.Until(x.deadline())
-	}
 	req := &http.Request{
 		Method: x.call.Method,
 		URL:    &url.URL{Scheme: "http", Host: u.Address, Opaque: x.call.Path, RawQuery: x.call.Query},
@@ -262,7 +260,7 @@
 		Header: x.proxy.Codec.WriteCall(&x.call, UpstreamFields{
 			Upstream:  u.ID,
 			Team:      x.teamName(),
-			Left:      left,
+			Left:      time.Until(x.answerDeadline()),
 			LastEvent: d.lastEvent,
 			Priority:  x.priority(),
 		}),
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,7 +10,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/budget"
-	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -96,8 +95,8 @@
 		meter    *meter
 		attempts *attempts
 		config   atomic.Pointer[Config]
-		// drainedSince is when Drain was called, on the clock of common.Uptime, or 0.
-		drainedSince atomic.Int64
+		// drain is nil unless the instance is being stopped.
+		drain atomic.Pointer[drain]
 	}
 )
 
@@ -111,19 +110,6 @@
 // Configure replaces the settings for requests that arrive from now on.
 func (g *Proxy) Configure(config Config) { g.config.Store(&config) }
 
-// Drain makes every response close its connection, so that callers reconnect to
-// other instances.
-func (g *Proxy) Drain() { g.drainedSince.CompareAndSwap(0, int64(common.Uptime())) }
-
-// drainingFor returns how long callers have been asked to use other instances, or 0.
-func (g *Proxy) drainingFor() time.Duration {
-	since := time.Duration(g.drainedSince.Load())
-	if since == 0 {
-		return 0
-	}
-	return max(1, common.Uptime()-since)
-}
-
 // ServeHTTP admits one request, forwards it and logs its outcome.
 func (g *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(g, w, r)
