Close connections also by answers that began before a drain

The answer of a request that had begun before the stop signal and ended after it kept its connection, so its caller sent the next request to an instance that was stopping. Connection: close was set when a request began; it is set with the head of the answer now.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -36,6 +36,14 @@
 	return max(1, common.Uptime()-d.since)
 }
 
+// askToReconnect makes the answer close its connection if the instance drains, also
+// if it began to do so after the request.
+func (x *exchange) askToReconnect() {
+	if x.proxy.drain.Load() != nil {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // checkDrain refuses a request that may not be answered before the instance ends.
 func (x *exchange) checkDrain() *refusal {
 	d := x.proxy.drain.Load()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -113,9 +113,6 @@
 // ServeHTTP admits one request, forwards it and logs its outcome.
 func (g *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(g, w, r)
-	if x.record.draining > 0 {
-		w.Header().Set("Connection", "close")
-	}
 	defer x.report()
 	if !x.admit() {
 		return
--- a/proxy/refusal.go
+++ b/proxy/refusal.go
@@ -83,6 +83,7 @@
 		return
 	}
 	x.proxy.Codec.WriteRefusal(x.w.Header(), x.call.ID, refused.retryAfter)
+	x.askToReconnect()
 	x.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	x.w.WriteHeader(refused.status)
 	if _, err := x.w.Write([]byte(refused.reason + "\n")); err != nil {
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -73,6 +73,7 @@
 // writeHead sends the status and the header fields set so far.
 func (x *exchange) writeHead(status int) {
 	x.record.status = status
+	x.askToReconnect()
 	x.record.firstByte = time.Since(x.start)
 	x.w.WriteHeader(status)
 }
