End requests whose caller sends or reads nothing more

A caller that sent half a body, or read nothing of a long stream, kept its request in progress beyond its own deadline and the route's timeout, and every planned stop waited for it until its end.

Change: the read of a body ends when the answer is due, and writes end a second after the caller's deadline, so that an answer that is ready is still delivered late. TestStreamOutlastsTheRoutesTimeout shows that a stream goes on beyond the route's timeout; it passed at once, since net/http lifts the bound of reads at the end of the body.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -17,6 +17,10 @@
 	"github.com/buckthorntide/buckthorntide/turns"
 )
 
+// writeMargin is how long after a caller's deadline its answer may still be written:
+// one that is ready is delivered late.
+const writeMargin = time.Second
+
 // exchange is one caller's request while the proxy handles it.
 type exchange struct {
 	proxy  *Proxy
@@ -168,18 +172,32 @@
 	if x.r.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
+	if err := x.boundCaller(); err != nil {
+		return &refusal{reason: "the caller's connection can't be bounded: " + err.Error(), abort: true}
+	}
 	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
 	if err != nil {
-		return &refusal{reason: "the caller broke off", abort: true}
+		return &refusal{reason: "the caller broke off: " + err.Error(), abort: true}
 	}
 	x.input, x.body = body, body
 	return nil
 }
 
+// boundCaller bounds the read of the body, for a caller that sends no more of it, and
+// the writes, for one that reads no more of its answer. The server lifts the first
+// bound at the end of the body, and the second one after the request.
+func (x *exchange) boundCaller() error {
+	c := http.NewResponseController(x.w)
+	if err := c.SetReadDeadline(x.deadline()); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(c.SetWriteDeadline(x.callerDeadline.Add(writeMargin)))
+}
+
 func readAll(r io.Reader, length int64) ([]byte, error) {
 	if length < 0 {
 		return io.ReadAll(r)
