Bound the time in which idle connections are closed

A grace period of a second left the time for first requests beyond its end.

Change: batches grow with the number of connections, so that all are closed within 200 ms, and the time for first requests counts from the stop signal and is a part of a short grace period.

--- a/front/callers.go
+++ b/front/callers.go
@@ -14,11 +14,13 @@
 	"github.com/buckthorntide/buckthorntide/proxy"
 )
 
-// closeBatch is how many connections are closed at a time, and closePause the time
-// between two batches. A thousand take a quarter of a second.
 const (
-	closeBatch = 8
+	// closeTime is how long the close of all connections in a state takes if they are
+	// many, and closePause the time between two batches.
+	closeTime  = 200 * time.Millisecond
 	closePause = 2 * time.Millisecond
+	// minCloseBatch is how many connections a batch has at least.
+	minCloseBatch = 8
 )
 
 type (
@@ -143,7 +145,8 @@
 	c.closing[state] = true
 	conns := slices.Collect(maps.Keys(c.conns))
 	c.mu.Unlock()
-	for batch := range slices.Chunk(conns, closeBatch) {
+	batches := int(closeTime / closePause)
+	for batch := range slices.Chunk(conns, max(minCloseBatch, (len(conns)+batches-1)/batches)) {
 		if c.closeBatch(batch, state) > 0 {
 			group.Sleep(ctx, closePause)
 		}
--- a/front/stop.go
+++ b/front/stop.go
@@ -18,6 +18,8 @@
 	// firstRequestTime is how long after that connections without a request may
 	// send their first one.
 	firstRequestTime = 500 * time.Millisecond
+	// firstFraction bounds firstRequestTime to a part of a short time to accept.
+	firstFraction = 5
 	// stopMargin is the end of the grace period, reserved for the last writes.
 	stopMargin = 700 * time.Millisecond
 	// maxMarginFraction bounds stopMargin to a part of a short grace period.
@@ -32,13 +34,16 @@
 type stopPlan struct {
 	// accept is how long new connections are accepted.
 	accept time.Duration
-	// answer is how long requests in progress may take, from the stop signal.
+	// first is until when connections without a request may send their first one, and
+	// answer is how long requests in progress may take, both from the stop signal.
+	first  time.Duration
 	answer time.Duration
 }
 
 func newStopPlan(grace time.Duration) stopPlan {
 	answer := grace - min(stopMargin, grace/maxMarginFraction)
-	return stopPlan{accept: min(balancerDelay, answer/2), answer: answer}
+	accept := min(balancerDelay, answer/2)
+	return stopPlan{accept: accept, first: accept + min(firstRequestTime, accept/firstFraction), answer: answer}
 }
 
 // Drain stops the instance gracefully: the readiness check fails first, callers
@@ -50,10 +55,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.answer))
 	defer cancel()
 	f.stopping.Store(true)
-	f.proxy.Drain(proxy.DrainPlan{AcceptUntil: start.Add(plan.accept + firstRequestTime), AnswerBy: start.Add(plan.answer)})
+	f.proxy.Drain(proxy.DrainPlan{AcceptUntil: start.Add(plan.first), AnswerBy: start.Add(plan.answer)})
 	f.logDrain("drain started", "grace", grace)
 	group.Sleep(ctx, plan.accept)
-	err := f.finishCallers(ctx)
+	err := f.finishCallers(ctx, start.Add(plan.first))
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelDeregister()
 	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
@@ -68,15 +73,16 @@
 
 // finishCallers accepts no more connections and closes idle ones, so that requests
 // in progress are not joined by later ones that the grace period may cut. It waits
-// until all are answered, or until the context ends. The server is shut down last:
-// it would drop requests that have just been read on new connections.
-func (f *Front) finishCallers(ctx context.Context) error {
+// until all are answered, or until the context ends. Connections without a request
+// are closed at the time for first requests. The server is shut down last: it would
+// drop requests that have just been read on new connections.
+func (f *Front) finishCallers(ctx context.Context, first time.Time) error {
 	if err := f.listeners[callerListener].Close(); err != nil {
 		f.log.Warn("close of the callers' listener failed", "error", err)
 	}
 	f.logDrain("no new connections accepted")
 	f.callers.closeAll(ctx, http.StateIdle)
-	firstCtx, cancel := context.WithTimeout(ctx, firstRequestTime)
+	firstCtx, cancel := context.WithDeadline(ctx, first)
 	defer cancel()
 	f.waitCallers(firstCtx)
 	f.callers.closeAll(ctx, http.StateNew)
--- a/front/stop_test.go
+++ b/front/stop_test.go
@@ -14,9 +14,9 @@
 		grace time.Duration
 		want  stopPlan
 	}{
-		{"usual", 8 * time.Second, stopPlan{accept: 2500 * time.Millisecond, answer: 7300 * time.Millisecond}},
-		{"long", time.Minute, stopPlan{accept: 2500 * time.Millisecond, answer: 59300 * time.Millisecond}},
-		{"short", 2 * time.Second, stopPlan{accept: 875 * time.Millisecond, answer: 1750 * time.Millisecond}},
+		{"usual", 8 * time.Second, stopPlan{accept: 2500 * time.Millisecond, first: 3 * time.Second, answer: 7300 * time.Millisecond}},
+		{"long", time.Minute, stopPlan{accept: 2500 * time.Millisecond, first: 3 * time.Second, answer: 59300 * time.Millisecond}},
+		{"short", 2 * time.Second, stopPlan{accept: 875 * time.Millisecond, first: 1050 * time.Millisecond, answer: 1750 * time.Millisecond}},
 		{"none", 0, stopPlan{}},
 	}
 	for _, tt := range tests {
