Accept no request after the time to accept, however late its connection is closed

On a busy machine each pause between two batches takes far longer than 2 ms, so the close of many connections took 1.5 s.

Change: the proxy refuses what begins after the time to accept with 503, also if it could still be answered, so the close of connections only spares callers a refusal.

--- a/front/callers.go
+++ b/front/callers.go
@@ -145,14 +145,19 @@
 	c.closing[state] = true
 	conns := slices.Collect(maps.Keys(c.conns))
 	c.mu.Unlock()
-	batches := int(closeTime / closePause)
-	for batch := range slices.Chunk(conns, max(minCloseBatch, (len(conns)+batches-1)/batches)) {
+	for batch := range slices.Chunk(conns, closeBatchSize(len(conns))) {
 		if c.closeBatch(batch, state) > 0 {
 			group.Sleep(ctx, closePause)
 		}
 	}
 }
 
+// closeBatchSize returns how many of the connections are closed at a time.
+func closeBatchSize(conns int) int {
+	batches := int(closeTime / closePause)
+	return max(minCloseBatch, (conns+batches-1)/batches)
+}
+
 // closeBatch closes those of the connections that are in the state and returns their
 // number.
 func (c *callerConns) closeBatch(batch []net.Conn, state http.ConnState) int {
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -8,8 +8,9 @@
 
 // DrainPlan is how a planned stop treats requests.
 type DrainPlan struct {
-	// AcceptUntil is until when every request is passed on. Later ones are refused
-	// if they may last longer than until AnswerBy, when the instance ends.
+	// AcceptUntil is until when requests are accepted. Accepted ones that are not sent
+	// by then are refused if they may last longer than until AnswerBy, when the
+	// instance ends.
 	AcceptUntil time.Time
 	AnswerBy    time.Time
 }
@@ -44,11 +45,18 @@
 	}
 }
 
-// checkDrain refuses a request that may not be answered before the instance ends.
+// checkDrain refuses a request that came too late to be accepted, or that may not be
+// answered before the instance ends.
 func (x *exchange) checkDrain() *refusal {
 	d := x.proxy.drain.Load()
-	if d == nil || time.Now().Before(d.AcceptUntil) || !x.answerDeadline().After(d.AnswerBy) {
+	switch {
+	case d == nil || time.Now().Before(d.AcceptUntil):
+		return nil
+	case x.start.After(d.AcceptUntil):
+		return refuseNotReady("the instance stops and accepts no more requests")
+	case x.answerDeadline().After(d.AnswerBy):
+		return refuseNotReady("the instance stops before the answer is due")
+	default:
 		return nil
 	}
-	return refuseNotReady("the instance stops before the answer is due")
 }
