Let a stream go on only at the software version that began it

Callers could get one answer with events of two software versions of a service: a stream that broke off went on at any other upstream of the service, with nothing in the answer to show it.

Cause: the version in an upstream's entry was decoded to check the entry and then dropped, so that neither the view nor the picker could tell versions apart.

Change: site.Upstream has the software version, and a changed one is a changed upstream. pick.Request restricts the choice to versions. From the first event on, an answer only goes on at upstreams of the version that sent it; without one it breaks off at once, and the caller may take it up elsewhere. An upstream that is silent is left only if most others that may take the request respond, so others of another version don't count.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -103,6 +103,9 @@
 		Domain string
 		// Tried are the upstreams to exclude.
 		Tried []string
+		// Versions are the software versions that the upstream may have; nil allows
+		// any.
+		Versions []string
 		// Cold reports whether the request may go to a cold upstream. It may take a
 		// token of the upstream's allowance.
 		Cold func(u *site.Upstream) bool
@@ -219,9 +222,9 @@
 
 // ReportStalled records that the upstream has sent nothing for a request for far
 // longer than an answer takes. It reports whether the upstream is now ejected
-// while most of the service's other upstreams aren't, so that the request is
-// better sent to one of them.
-func (p *Picker) ReportStalled(view *site.View, service, upstream string, now time.Duration) bool {
+// while most of the service's other upstreams of the software versions aren't, so
+// that the request is better sent to one of them.
+func (p *Picker) ReportStalled(view *site.View, service, upstream string, versions []string, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.record(upstream)
@@ -231,7 +234,7 @@
 	}
 	usable, ejected := 0, 0
 	for _, u := range view.Pool(service) {
-		if !acceptsRequests(view, u) {
+		if !acceptsRequests(view, u) || !hasVersion(u, versions) {
 			continue
 		}
 		usable++
@@ -346,11 +349,17 @@
 	return u.State == site.Ready && !view.DomainExcluded(u.FailureDomain)
 }
 
+// hasVersion reports whether the upstream has one of the software versions; nil
+// stands for any.
+func hasVersion(u *site.Upstream, versions []string) bool {
+	return versions == nil || slices.Contains(versions, u.SoftwareVersion)
+}
+
 func (p *Picker) candidates(view *site.View, req Request, includeEjected bool) []candidate {
 	pool := view.Pool(req.Service)
 	candidates := make([]candidate, 0, len(pool))
 	for _, u := range pool {
-		if !acceptsRequests(view, u) || slices.Contains(req.Tried, u.ID) {
+		if !acceptsRequests(view, u) || !hasVersion(u, req.Versions) || slices.Contains(req.Tried, u.ID) {
 			continue
 		}
 		r := p.record(u.ID)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -144,7 +146,7 @@
 			p.Done(upstream, pick.Failed, now)
 		}},
 		{"silent", func(p *pick.Picker, view *site.View, upstream string, now time.Duration) {
-			p.ReportStalled(view, "m", upstream, now)
+			p.ReportStalled(view, "m", upstream, nil, now)
 			p.Done(upstream, pick.Abandoned, now)
 		}},
 		{"broken", func(p *pick.Picker, _ *site.View, upstream string, now time.Duration) {
@@ -181,25 +183,29 @@
 // are slow, moving it would run it twice for nothing.
 func TestSilentUpstreamIsLeftForHealthyOnes(t *testing.T) {
 	tests := []struct {
-		name  string
-		slow  []string
-		leave bool
+		name     string
+		slow     []string
+		versions []string
+		leave    bool
 	}{
-		{"one of three is silent", []string{"i-0"}, true},
-		{"two of three are silent", []string{"i-1", "i-0"}, false},
+		{"one of three is silent", []string{"i-0"}, nil, true},
+		{"two of three are silent", []string{"i-1", "i-0"}, nil, false},
+		{"one of three is silent, one of two of its version", []string{"i-0"}, []string{"v1"}, false},
+		{"one of three is silent, all are of the versions", []string{"i-0"}, []string{"v1", "v2"}, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			p := pick.NewPicker()
 			view := newView(3, func(us []*site.Upstream) {
 				for _, u := range us {
-					u.FailureDomain = "a"
+					u.FailureDomain, u.SoftwareVersion = "a", "v1"
 				}
+				us[2].SoftwareVersion = "v2"
 			})
 			leave := false
 			for _, id := range tt.slow {
-				assert.Assert(t, !p.ReportStalled(view, "m", id, time.Minute), "one silent request ejects nothing")
-				leave = p.ReportStalled(view, "m", id, time.Minute)
+				assert.Assert(t, !p.ReportStalled(view, "m", id, tt.versions, time.Minute), "one silent request ejects nothing")
+				leave = p.ReportStalled(view, "m", id, tt.versions, time.Minute)
 			}
 			assert.Equal(t, leave, tt.leave)
 		})
@@ -221,3 +227,38 @@
 		p.Done(u.ID, outcome, now)
 	}
 }
+
+// A request that only one software version can serve goes nowhere else, also if
+// the upstreams of that version are full or ejected.
+func TestUpstreamHasAnAllowedVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		versions []string
+		tried    []string
+		want     []string
+	}{
+		{name: "any", want: []string{"i-0", "i-1", "i-2"}},
+		{name: "one", versions: []string{"v1"}, want: []string{"i-0", "i-2"}},
+		{name: "two", versions: []string{"v1", "v2"}, want: []string{"i-0", "i-1", "i-2"}},
+		{name: "none", versions: []string{}},
+		{name: "one, of which all were tried", versions: []string{"v1"}, tried: []string{"i-0", "i-2"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := pick.NewPicker()
+			p.Done("i-2", pick.Unreachable, 59*time.Second)
+			view := newView(3, func(us []*site.Upstream) {
+				for i, u := range us {
+					u.FailureDomain, u.SoftwareVersion = "a", []string{"v1", "v2", "v1"}[i]
+				}
+			})
+			got := make(map[string]bool)
+			for range 4 * slots {
+				if u := p.Pick(view, pick.Request{Service: "m", Tried: tt.tried, Versions: tt.versions, Now: time.Minute}); u != nil {
+					got[u.ID] = true
+				}
+			}
+			assert.DeepEqual(t, slices.Sorted(maps.Keys(got)), tt.want)
+		})
+	}
+}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -61,6 +61,9 @@
 		started bool
 		// lastEvent is the ID of the last event sent to the caller.
 		lastEvent string
+		// versions are the software versions of upstreams that may go on with the
+		// answer; nil allows any.
+		versions []string
 		// failure is an upstream's 5xx answer, used if no attempt succeeds.
 		failure *response
 	}
@@ -143,13 +146,14 @@
 
 func (x *exchange) pick(d *delivery) *site.Upstream {
 	return x.proxy.Picker.Pick(x.proxy.Views.View(), pick.Request{
-		Service: x.service.Name,
-		Program: x.affinityProgram(),
-		Object:  x.call.Object,
-		Domain:  x.config.FailureDomain,
-		Tried:   d.tried,
-		Cold:    x.admitCold,
-		Now:     common.Uptime(),
+		Service:  x.service.Name,
+		Program:  x.affinityProgram(),
+		Object:   x.call.Object,
+		Domain:   x.config.FailureDomain,
+		Tried:    d.tried,
+		Versions: d.versions,
+		Cold:     x.admitCold,
+		Now:      common.Uptime(),
 	})
 }
 
@@ -210,7 +214,7 @@
 		x.record.admitted = time.Since(x.start)
 	}
 	x.record.attempts++
-	stopTimer := x.watchSilence(u, cancel)
+	stopTimer := x.watchSilence(u, d.versions, cancel)
 	resp, err := x.proxy.Transport.RoundTrip(x.request(ctx, u, d))
 	stopTimer()
 	if err != nil {
@@ -223,7 +227,7 @@
 // watchSilence reports the upstream to the picker once the attempt has waited far
 // longer than the route's objective, and cancels the attempt if another upstream
 // is likely to do better and may be tried. The returned function must be called.
-func (x *exchange) watchSilence(u *site.Upstream, cancel context.CancelFunc) (stopTimer func()) {
+func (x *exchange) watchSilence(u *site.Upstream, versions []string, cancel context.CancelFunc) (stopTimer func()) {
 	if x.route.LatencyTarget <= 0 {
 		return func() {}
 	}
@@ -234,7 +238,7 @@
 	attempt := x.current
 	canRetry := x.repeatable() && x.record.runs+1 < x.route.MaxAttempts
 	timer := time.AfterFunc(timeout, func() {
-		if x.proxy.Picker.ReportStalled(x.proxy.Views.View(), x.service.Name, u.ID, common.Uptime()) && canRetry {
+		if x.proxy.Picker.ReportStalled(x.proxy.Views.View(), x.service.Name, u.ID, versions, common.Uptime()) && canRetry {
 			attempt.unresponsive.Store(true)
 			cancel()
 		}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,7 +54,7 @@
 		ReportLoad(upstream string, load pick.Load, now time.Duration)
 		// ReportStalled records that the upstream has been silent for long and reports
 		// whether a request should move to another one.
-		ReportStalled(view *site.View, service, upstream string, now time.Duration) bool
+		ReportStalled(view *site.View, service, upstream string, versions []string, now time.Duration) bool
 		// LastUpstream returns the upstream that last ran the program, or an empty string.
 		LastUpstream(program string, now time.Duration) string
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -23,7 +23,7 @@
 		if errors.Is(err, io.EOF) {
 			x.proxy.Picker.Done(u.ID, pick.Answered, common.Uptime())
 			x.addTrail(u, "whole stream")
-			x.startStream(d, resp)
+			x.startStream(u, d, resp)
 			return x.finishStream()
 		}
 		if err != nil {
@@ -35,7 +35,7 @@
 			timer.Reset(time.Until(x.callerDeadline))
 		}
 		x.current.noteReceived()
-		x.startStream(d, resp)
+		x.startStream(u, d, resp)
 		if !x.relayEvent(ev, d, controller) {
 			x.proxy.Picker.Done(u.ID, pick.Abandoned, common.Uptime())
 			x.addTrail(u, "stream left by the caller")
@@ -45,11 +45,12 @@
 }
 
 // startStream sends the head of the first upstream's answer to the caller, once.
-func (x *exchange) startStream(d *delivery, resp *http.Response) {
+// Only upstreams of the same software version may go on with the stream.
+func (x *exchange) startStream(u *site.Upstream, d *delivery, resp *http.Response) {
 	if d.started {
 		return
 	}
-	d.started = true
+	d.started, d.versions = true, []string{u.SoftwareVersion}
 	x.proxy.Codec.WriteAnswer(x.w.Header(), resp.Header)
 	// The stream may resume at another upstream, so its length is unknown.
 	x.w.Header().Del("Content-Length")
--- a/site/config.go
+++ b/site/config.go
@@ -124,8 +124,11 @@
 		// Address is IP:port.
 		Address       string
 		FailureDomain string
-		Slots         int
-		State         State
+		// SoftwareVersion is the version of the upstream's software. The events of
+		// two versions don't fit together.
+		SoftwareVersion string
+		Slots           int
+		State           State
 		// ColdUntil is on the clock of common.Uptime.
 		ColdUntil time.Duration
 		// Incarnation identifies the incarnation of the upstream under its ID.
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -86,7 +86,7 @@
 	}
 	if logged {
 		w.log.Info("upstream state changed", "upstream", u.ID, "service", u.Service, "address", u.Address,
-			"domain", u.FailureDomain, "draining", u.State == site.Draining, "coldFor", max(0, u.ColdUntil-now), "rowVersion", r.Version)
+			"domain", u.FailureDomain, "version", u.SoftwareVersion, "draining", u.State == site.Draining, "coldFor", max(0, u.ColdUntil-now), "rowVersion", r.Version)
 	}
 	return true
 }
@@ -98,7 +98,7 @@
 	const jitter = 200 * time.Millisecond
 	coldAlike := (a.ColdUntil <= now && b.ColdUntil <= now) || (b.ColdUntil-a.ColdUntil).Abs() < jitter
 	return coldAlike && a.Service == b.Service && a.Address == b.Address && a.FailureDomain == b.FailureDomain &&
-		a.Slots == b.Slots && a.State == b.State && a.Incarnation == b.Incarnation
+		a.SoftwareVersion == b.SoftwareVersion && a.Slots == b.Slots && a.State == b.State && a.Incarnation == b.Incarnation
 }
 
 // remove drops an upstream whose entry was deleted: at once or, if the feed just
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -194,6 +194,10 @@
 	d.put("upstreams", "i-2", "not an upstream")
 	d.put("upstreams", "panics", "an entry that the decoder does not expect")
 	d.within(2*time.Second, "one upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
+	d.put("upstreams", "i-1", site.Upstream{Service: "s", SoftwareVersion: "v2"})
+	d.within(2*time.Second, "version of the upstream", func(v *site.View) bool {
+		return len(v.Pool("s")) == 1 && v.Pool("s")[0].SoftwareVersion == "v2"
+	})
 	d.remove("upstreams", "i-1")
 	d.within(2*time.Second, "no upstream", func(v *site.View) bool { return len(v.Pool("s")) == 0 })
 }
