Take streams up at the software version that began them

Callers that took a stream up again (last event's ID, and the request that brought the first event) could get the rest from another software version of the service: answered 200 and whole, joined from two versions. So at the same instance, at another one, and after all instances were killed, also where the old version had just left.

Cause: nothing read the name of the stream, and nothing remembered which version began it. Class of fault: a decision that holds for longer than the process that made it, kept nowhere.

Evidence: with the lookup switched off, TestTakeUpHoldsEventsOfOneVersion fails in 9 of 15 cases, so "same instance: a v2 got the stream" and "another instance, replaced at once: 200 id: 2 ... id: 3" (want a refusal); TestTurnOfAResumableRouteIsKeptWhole: 200, want 503.

Change: package resume. A version stands in its service's row of the store before a resumable stream begins there, and until streams of it can't be taken up any more: a mark once it has been absent for 10 s, its removal 150 s later, both by compare-and-set. While the row has one version that one is the answer, after a read of the row, since another instance may just have listed a new one. While it has several, each stream has a row of its own, written in the background after its first event. Memory of the instance comes before both. A stream whose version can't be told, or has no upstream that takes requests, is refused at once with 503 and not run. A turn is not taken up, since it would be kept without its first events; until now it was kept so.

TestStreamsGoOnWhileInstancesAreKilled asks nine tenths to go on.

--- a/front/dump.go
+++ b/front/dump.go
@@ -8,6 +8,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/resume"
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/site"
 )
@@ -25,10 +26,13 @@
 		// domains; -1 before any are known.
 		ConfigAgeMs int64 `json:"configAgeMs"`
 		// StoreUnreachable is set while apparently no instance reaches the store.
-		StoreUnreachable bool           `json:"storeAway"`
-		ExcludedDomains  []string       `json:"domainsOut"`
-		Upstreams        []UpstreamDump `json:"upstreams"`
-		Instances        []InstanceDump `json:"instances"`
+		StoreUnreachable bool     `json:"storeAway"`
+		ExcludedDomains  []string `json:"domainsOut"`
+		// Versions are the software versions of each service at which streams may be
+		// open.
+		Versions  map[string][]resume.Listed `json:"versions"`
+		Upstreams []UpstreamDump             `json:"upstreams"`
+		Instances []InstanceDump             `json:"instances"`
 	}
 
 	// UpstreamDump is one upstream as this instance sees it.
@@ -37,6 +41,7 @@
 		Service       string `json:"service"`
 		Address       string `json:"address"`
 		FailureDomain string `json:"failureDomain"`
+		Version       string `json:"version"`
 		Draining      bool   `json:"draining"`
 		ColdForMs     int64  `json:"coldForMs"`
 		pick.State
@@ -70,6 +75,7 @@
 		ConfigAgeMs:      -1,
 		StoreUnreachable: f.watcher.StoreDown(),
 		ExcludedDomains:  slices.Sorted(maps.Keys(view.ExcludedDomains())),
+		Versions:         f.streams.Dump(),
 		Upstreams:        []UpstreamDump{},
 		Instances:        []InstanceDump{},
 	}
@@ -82,6 +88,7 @@
 			Service:       u.Service,
 			Address:       u.Address,
 			FailureDomain: u.FailureDomain,
+			Version:       u.SoftwareVersion,
 			Draining:      u.State == site.Draining,
 			ColdForMs:     max(0, u.ColdUntil-now).Milliseconds(),
 			State:         f.picker.State(u, now),
--- a/front/front.go
+++ b/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/buckthorntide/buckthorntide/platform"
 	"github.com/buckthorntide/buckthorntide/proxy"
 	"github.com/buckthorntide/buckthorntide/relay"
+	"github.com/buckthorntide/buckthorntide/resume"
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/turns"
@@ -59,6 +60,9 @@
 	// own heavy programs at once, so others may learn of them later.
 	rosterInterval = 700 * time.Millisecond
 	heavyInterval  = 2 * time.Second
+	// versionInterval is the pause between two reads of the changes of the versions
+	// of services, which are rare. Streams begin at a version once it is known.
+	versionInterval = 50 * time.Millisecond
 	// headerTimeout bounds the read of a request's header.
 	headerTimeout = 10 * time.Second
 )
@@ -85,6 +89,7 @@
 	buckets       *share.Buckets
 	limiter       *share.Limiter
 	keeper        *turns.Keeper
+	streams       *resume.Tracker
 	picker        *pick.Picker
 	transport     *http.Transport
 	proxy         *proxy.Proxy
@@ -134,6 +139,8 @@
 		CacheBytes: settings.MemoryMB << 20 / cacheDivisor,
 		StoreLost:  f.store.Lost,
 	})
+	f.streams = resume.NewTracker(log.Named("resume"), f.store, f.watcher, f.common.Metrics,
+		resume.Config{Process: peers.HolderName(f.roster.Self()), Instances: f.peers.Instances})
 	f.proxy = proxy.NewProxy(proxy.Deps{
 		Log:       log.Named("gate"),
 		Metrics:   f.common.Metrics,
@@ -142,6 +149,7 @@
 		Quotas:    f.limiter,
 		Budgets:   f.broker,
 		Turns:     f.keeper,
+		Streams:   f.streams,
 		Picker:    f.picker,
 		Transport: f.transport,
 	}, proxyConfig(settings))
@@ -218,9 +226,12 @@
 func (f *Front) Start() {
 	f.peerServer.Start()
 	f.watcher.Require(roster.Table)
+	f.watcher.Require(resume.VersionTable)
 	f.watcher.Start()
 	f.watcher.Follow(roster.Table, rosterInterval, f.replaceRoster, f.applyRosterRows)
 	f.watcher.Follow(budget.HeavyTable, heavyInterval, f.ledger.LoadHeavyPrograms, f.ledger.UpdateHeavyPrograms)
+	f.watcher.Follow(resume.VersionTable, versionInterval, f.streams.Apply, f.streams.Apply)
+	f.streams.Start()
 	f.group.Go(f.register)
 	f.group.Go(f.removeLost)
 	for i, server := range []*http.Server{f.callerServer, f.readyServer, f.metricsServer} {
@@ -253,6 +264,7 @@
 	f.broker.Close()
 	f.ledger.Close()
 	f.keeper.Close()
+	f.streams.Close()
 	if f.peerServer != nil {
 		f.peerServer.Close()
 	}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -53,6 +53,8 @@
 		// LastEvent is the ID of the last event that the caller received; the
 		// stream resumes after it.
 		LastEvent string
+		// Resumes is the ID of the request that brought the stream's first event.
+		Resumes string
 	}
 
 	// UpstreamFields holds the fields that the proxy adds to a request to an upstream.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -48,6 +48,9 @@
 	body      []byte
 	ancestors []string
 	output    []byte
+	// versions are the software versions of upstreams that may go on with the stream
+	// that the caller takes up; nil for a new one.
+	versions []string
 	// current is the attempt in flight.
 	current *attempt
 	// record holds the values of the final log line.
@@ -66,6 +69,7 @@
 		{run: x.readBody},
 		{run: x.checkDrain},
 		{x.takeQuota, &x.record.quotaTime},
+		{x.findVersion, &x.record.resumeTime},
 		{x.prependTurns, &x.record.turnsTime},
 		{x.reserveBudget, &x.record.budgetTime},
 	}
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -77,7 +77,7 @@
 
 // forward tries upstreams until one answers or no further attempt is allowed.
 func (x *exchange) forward() {
-	d := &delivery{lastEvent: x.call.LastEvent}
+	d := &delivery{lastEvent: x.call.LastEvent, versions: x.versions}
 	for {
 		if refused := x.stopReason(d); refused != nil {
 			x.finishUnanswered(d, refused)
@@ -151,7 +151,7 @@
 		Object:   x.call.Object,
 		Domain:   x.config.FailureDomain,
 		Tried:    d.tried,
-		Versions: d.versions,
+		Versions: x.allowedVersions(d),
 		Cold:     x.admitCold,
 		Now:      common.Uptime(),
 	})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/resume"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
 	"github.com/buckthorntide/buckthorntide/turns"
@@ -47,6 +48,17 @@
 		Chain(ctx context.Context, team, id string) ([]*turns.Turn, error)
 	}
 
+	// Streams know the software versions of services and of open streams.
+	Streams interface {
+		// Versions returns those at which streams of the service may begin.
+		Versions(ctx context.Context, service string) []string
+		// Began remembers the version that began a stream, whose caller waits for the
+		// given time.
+		Began(s resume.Stream, origin resume.Origin, left time.Duration)
+		// Find returns the version at which a stream goes on.
+		Find(ctx context.Context, s resume.Stream, service string, left time.Duration) (string, resume.Source, error)
+	}
+
 	// Picker chooses upstreams.
 	Picker interface {
 		Pick(view *site.View, need pick.Request) *site.Upstream
@@ -84,6 +96,7 @@
 		Quotas    Quotas
 		Budgets   Budgets
 		Turns     Turns
+		Streams   Streams
 		Picker    Picker
 		Transport http.RoundTripper
 	}
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -35,6 +35,11 @@
 		quotaTime  time.Duration
 		turnsTime  time.Duration
 		budgetTime time.Duration
+		// resumeTime is how long the request waited for the version of the stream that
+		// it takes up, version that version, and versionSource how it was found.
+		resumeTime    time.Duration
+		version       string
+		versionSource string
 		// admitted is the time until the request was first sent to an upstream.
 		admitted  time.Duration
 		firstByte time.Duration
@@ -81,7 +86,7 @@
 	x.proxy.Log.Info("request ended", "request", x.call.ID, "route", route, "team", x.teamName(),
 		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn,
 		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
-		"events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
+		"version", x.record.version, "versionSource", x.record.versionSource, "resumeMs", x.record.resumeTime.Milliseconds(), "events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
 		"budgetMs", x.record.budgetTime.Milliseconds(), "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
 		"totalMs", elapsed.Milliseconds(), "patienceMs", x.call.Timeout.Milliseconds(),
 		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted,
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -50,7 +50,8 @@
 	if d.started {
 		return
 	}
-	d.started, d.versions = true, []string{u.SoftwareVersion}
+	d.started = true
+	x.beginStream(u, d)
 	x.proxy.Codec.WriteAnswer(x.w.Header(), resp.Header)
 	// The stream may resume at another upstream, so its length is unknown.
 	x.w.Header().Del("Content-Length")
--- a/site/config.go
+++ b/site/config.go
@@ -135,3 +135,7 @@
 		Incarnation int64
 	}
 )
+
+// ResumableStream reports whether the route's answers are streams that may go on at
+// another upstream.
+func (r *Route) ResumableStream() bool { return r.Kind == Stream && r.Resumable }
--- a/site/view.go
+++ b/site/view.go
@@ -20,6 +20,8 @@
 	teams        map[string]*Team
 	pools        map[string][]*Upstream
 	excluded     map[string]bool
+	// resumable are the services of resumable streams.
+	resumable []string
 }
 
 // NewView indexes a configuration, the upstreams in any order and the excluded
@@ -48,7 +50,7 @@
 func (v *View) WithUpstreams(upstreams []*Upstream, excluded map[string]bool) *View {
 	n := NewView(nil, upstreams, excluded)
 	n.Version, n.Limits = v.Version, v.Limits
-	n.routesByHost, n.services, n.teamsByKey, n.teams = v.routesByHost, v.services, v.teamsByKey, v.teams
+	n.routesByHost, n.services, n.teamsByKey, n.teams, n.resumable = v.routesByHost, v.services, v.teamsByKey, v.teams, v.resumable
 	return n
 }
 
@@ -60,6 +62,7 @@
 	for i := range config.Routes {
 		r := &config.Routes[i]
 		v.routesByHost[r.Host] = append(v.routesByHost[r.Host], r)
+		v.indexResumable(r)
 	}
 	for _, routes := range v.routesByHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -76,6 +79,21 @@
 	}
 }
 
+func (v *View) indexResumable(r *Route) {
+	if !r.ResumableStream() {
+		return
+	}
+	for _, target := range r.Targets {
+		if !slices.Contains(v.resumable, target.Service) {
+			v.resumable = append(v.resumable, target.Service)
+		}
+	}
+}
+
+// ResumableServices returns the names of the services of resumable streams. The slice
+// is shared and must not be changed.
+func (v *View) ResumableServices() []string { return v.resumable }
+
 // Route returns the host's route with the longest prefix of the path, or nil. The
 // host may include a port.
 func (v *View) Route(host, path string) *Route {
