Tell in a request's line which stream it takes up

Of take-ups that were refused as unknown, the lines could not tell how many streams they were: a caller tries again a few times.

--- a/proxy/record.go
+++ b/proxy/record.go
@@ -84,7 +84,7 @@
 		route = x.route.Name
 	}
 	x.proxy.Log.Info("request ended", "request", x.call.ID, "route", route, "team", x.teamName(),
-		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn,
+		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn, "resumes", x.call.Resumes,
 		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
 		"version", x.record.version, "versionSource", x.record.versionSource, "resumeMs", x.record.resumeTime.Milliseconds(), "events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
 		"budgetMs", x.record.budgetTime.Milliseconds(), "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
