Write a stream's row without a pause while the instance is below its share

Each transaction was followed by the instance's share of the fleet's interval, 44 ms at 11 instances, though the instance wrote less often than that, so that a second stream's row was late.

The pause now starts once an instance is four transactions ahead of its share.

--- a/resume/writer.go
+++ b/resume/writer.go
@@ -18,9 +18,11 @@
 	maxTxnRows = 100
 	// maxPending bounds the streams that wait to be written or removed.
 	maxPending = 8 << 10
-	// fleetWriteInterval is the pause between two transactions of the whole fleet,
-	// about a third of what a small store takes.
+	// fleetWriteInterval is the mean time between two transactions of the whole fleet,
+	// about a third of what a small store takes; writeBurst is how many an instance
+	// may be ahead of its share.
 	fleetWriteInterval = 4 * time.Millisecond
+	writeBurst         = 4
 	// maxWrites bounds the transactions of an instance in flight, and writeTimeout
 	// the time of one.
 	maxWrites    = 8
@@ -119,6 +121,7 @@
 func (w *writer) run(ctx context.Context) {
 	timer := time.NewTicker(checkInterval)
 	defer timer.Stop()
+	var nextAt time.Duration
 	for ctx.Err() == nil {
 		b, ok := w.take(common.Uptime())
 		if !ok {
@@ -139,7 +142,9 @@
 			<-w.slots
 			w.notify()
 		})
-		group.Sleep(ctx, fleetWriteInterval*time.Duration(max(1, w.instances())))
+		now, interval := common.Uptime(), fleetWriteInterval*time.Duration(max(1, w.instances()))
+		nextAt = max(nextAt, now-writeBurst*interval) + interval
+		group.Sleep(ctx, nextAt-now)
 	}
 }
 
