Read a stream's row again if the read is lost

A stream whose caller took it up just after all connections had been reset was refused, 503 after 15 ms: both reads of the store went to idle connections that had been reset too.

A read that fails is made up to three times more within the time of the lookup, except where the store refuses it for too many calls. TestLostReadsAreRepeated fails without this: "versions of the service: outcome of the store call is unknown".

--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -20,6 +20,10 @@
 const (
 	// lookupTimeout bounds the reads for one stream; a read takes about 10 ms.
 	lookupTimeout = 400 * time.Millisecond
+	// maxReads is how often a row is read if the read fails, and readInterval the
+	// pause between two. Several idle connections to the store may have been reset.
+	maxReads     = 4
+	readInterval = 5 * time.Millisecond
 	// listTimeout is how long a stream waits until a version is listed at which it
 	// can begin.
 	listTimeout = 300 * time.Millisecond
@@ -318,7 +322,11 @@
 
 // read returns the row, with version 0 if it doesn't exist.
 func (t *Tracker) read(ctx context.Context, id rows.ID) (rows.Row, error) {
-	page, err := t.store.Range(ctx, rows.Query{Table: id.Table, Part: id.Part, From: id.Key, To: id.Key + "\x00", Limit: 1})
+	query := rows.Query{Table: id.Table, Part: id.Part, From: id.Key, To: id.Key + "\x00", Limit: 1}
+	page, err := t.store.Range(ctx, query)
+	for tries := 1; err != nil && !errors.Is(err, rows.ErrBusy) && tries < maxReads && group.Sleep(ctx, readInterval); tries++ {
+		page, err = t.store.Range(ctx, query)
+	}
 	if err != nil || len(page.Rows) == 0 {
 		return rows.Row{ID: id}, err
 	}
--- a/resume/tracker_test.go
+++ b/resume/tracker_test.go
@@ -38,6 +38,8 @@
 		mu    sync.Mutex
 		fault error
 		delay time.Duration
+		// lostReads is how many further reads fail.
+		lostReads int
 		// most is the largest transaction of the table of streams.
 		most int
 		// writes counts the transactions by table.
@@ -92,6 +94,15 @@
 	if err := s.call(ctx); err != nil {
 		return rows.Page{}, err
 	}
+	s.mu.Lock()
+	lost := s.lostReads > 0
+	if lost {
+		s.lostReads--
+	}
+	s.mu.Unlock()
+	if lost {
+		return rows.Page{}, rows.ErrUnknown
+	}
 	return s.Memory.Range(ctx, q)
 }
 
@@ -354,6 +365,24 @@
 	}
 }
 
+// Guards against a stream that is refused since connections to the store were reset
+// while they were idle: the read is made again.
+func TestLostReadsAreRepeated(t *testing.T) {
+	w := newWorld(t, "v1", "v2")
+	one := w.start()
+	one.Versions(t.Context(), service)
+	one.Began(id(1), origin("v1"), time.Second)
+	w.awaitStreams(1)
+	other := w.start()
+	w.store.mu.Lock()
+	w.store.lostReads = 3
+	w.store.mu.Unlock()
+	version, source, err := other.Find(t.Context(), id(1), service, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, version, "v1")
+	assert.Equal(t, source, resume.Stored)
+}
+
 // Streams that can't be written are given up, and callers don't wait for any of it.
 func TestStreamsWhileTheStoreFails(t *testing.T) {
 	for _, fault := range []error{rows.ErrBusy, rows.ErrNotDone, rows.ErrUnknown} {
