Send nothing more to an upstream that announces its shutdown

Callers could see requests end at an upstream that had said in its answers that it was leaving: they were sent there as long as its entry said ready, which is long where the store is away or slow.

Cause: the field of the answers was not read; only the entry counted.

Change: the picker notes the announcement for the upstream's ID and incarnation. No request or retry goes there, also where it is the only one or all others are ejected, and it is not among the usable ones that decide whether a request leaves a silent upstream.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -132,6 +132,8 @@
 		Failures int `json:"failures"`
 		// EjectedForMs is the time left of its ejection, in milliseconds.
 		EjectedForMs int64 `json:"restForMs"`
+		// Leaving is set if the upstream has announced its shutdown.
+		Leaving bool `json:"leaving"`
 	}
 
 	record struct {
@@ -149,6 +151,7 @@
 		// ejections counts those for a high failure ratio, until probation ends.
 		ejections    int
 		probationEnd time.Duration
+		departures   departures
 	}
 
 	affinity struct {
@@ -234,7 +237,7 @@
 	}
 	usable, ejected := 0, 0
 	for _, u := range view.Pool(service) {
-		if !acceptsRequests(view, u) || !hasVersion(u, versions) {
+		if !p.acceptsRequests(view, u, now) || !hasVersion(u, versions) {
 			continue
 		}
 		usable++
@@ -296,6 +299,7 @@
 		Fill:         r.fill(u, now),
 		Failures:     r.failures,
 		EjectedForMs: max(0, r.ejectedUntil-now).Milliseconds(),
+		Leaving:      r.departures.includes(u.Incarnation, now),
 	}
 }
 
@@ -343,10 +347,10 @@
 	p.nextSweepSize = max(minSweepSize, 2*len(p.affinities))
 }
 
-// acceptsRequests reports whether the operator and the upstream itself allow
-// new requests there.
-func acceptsRequests(view *site.View, u *site.Upstream) bool {
-	return u.State == site.Ready && !view.DomainExcluded(u.FailureDomain)
+// acceptsRequests reports whether the operator and the upstream itself, by its
+// entry and its answers, allow new requests there.
+func (p *Picker) acceptsRequests(view *site.View, u *site.Upstream, now time.Duration) bool {
+	return u.State == site.Ready && !view.DomainExcluded(u.FailureDomain) && !p.record(u.ID).departures.includes(u.Incarnation, now)
 }
 
 // hasVersion reports whether the upstream has one of the software versions; nil
@@ -359,7 +363,7 @@
 	pool := view.Pool(req.Service)
 	candidates := make([]candidate, 0, len(pool))
 	for _, u := range pool {
-		if !acceptsRequests(view, u) || !hasVersion(u, req.Versions) || slices.Contains(req.Tried, u.ID) {
+		if !p.acceptsRequests(view, u, req.Now) || !hasVersion(u, req.Versions) || slices.Contains(req.Tried, u.ID) {
 			continue
 		}
 		r := p.record(u.ID)
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -186,12 +186,15 @@
 		name     string
 		slow     []string
 		versions []string
+		leaving  int
 		leave    bool
 	}{
-		{"one of three is silent", []string{"i-0"}, nil, true},
-		{"two of three are silent", []string{"i-1", "i-0"}, nil, false},
-		{"one of three is silent, one of two of its version", []string{"i-0"}, []string{"v1"}, false},
-		{"one of three is silent, all are of the versions", []string{"i-0"}, []string{"v1", "v2"}, true},
+		{name: "one of three is silent", slow: []string{"i-0"}, leave: true},
+		{name: "two of three are silent", slow: []string{"i-1", "i-0"}},
+		{name: "one of three is silent, one of two of its version", slow: []string{"i-0"}, versions: []string{"v1"}},
+		{name: "one of three is silent, all are of the versions", slow: []string{"i-0"}, versions: []string{"v1", "v2"}, leave: true},
+		{name: "one is silent, one of the others shuts down", slow: []string{"i-0"}, leaving: 1},
+		{name: "one is silent, the others shut down", slow: []string{"i-0"}, leaving: 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -202,6 +205,9 @@
 				}
 				us[2].SoftwareVersion = "v2"
 			})
+			for _, u := range view.Pool("m")[len(view.Pool("m"))-tt.leaving:] {
+				assert.Assert(t, p.ReportLeaving(u, time.Minute))
+			}
 			leave := false
 			for _, id := range tt.slow {
 				assert.Assert(t, !p.ReportStalled(view, "m", id, tt.versions, time.Minute), "one silent request ejects nothing")
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -81,6 +81,8 @@
 		NotRun bool
 		// WrongUpstream is set if another upstream now has the address.
 		WrongUpstream bool
+		// Leaving is set if the upstream that answered is shutting down.
+		Leaving bool
 		// HasLoad reports whether Running, Waiting and Slots are set.
 		HasLoad bool
 		Running int
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -332,6 +332,7 @@
 		x.record.runs++
 		return mayHaveRun
 	}
+	x.noteLeaving(u, answer, now)
 	if answer.NotRun {
 		outcome := pick.Busy
 		if answer.WrongUpstream {
@@ -350,6 +351,19 @@
 	return x.relayResponse(u, d, resp)
 }
 
+// noteLeaving reports an upstream that announces its shutdown. Only an answer to
+// this request from the upstream itself counts: bytes of another answer, or of
+// another upstream at the address, don't show whose announcement they hold.
+func (x *exchange) noteLeaving(u *site.Upstream, answer Answer, now time.Duration) {
+	if !answer.Leaving || answer.WrongUpstream {
+		return
+	}
+	if x.proxy.Picker.ReportLeaving(u, now) {
+		x.proxy.Log.Info("upstream announces its shutdown; sending it no more requests", "request", x.call.ID,
+			"upstream", u.ID, "service", u.Service, "address", u.Address, "incarnation", u.Incarnation)
+	}
+}
+
 // addTrail appends the upstream's outcome to the trail in the request's log line.
 func (x *exchange) addTrail(u *site.Upstream, outcome string) {
 	if x.record.trail != "" {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -64,6 +64,9 @@
 		Pick(view *site.View, need pick.Request) *site.Upstream
 		Done(upstream string, outcome pick.Outcome, now time.Duration)
 		ReportLoad(upstream string, load pick.Load, now time.Duration)
+		// ReportLeaving records that the upstream has announced its shutdown and
+		// reports whether that is news.
+		ReportLeaving(u *site.Upstream, now time.Duration) bool
 		// ReportStalled records that the upstream has been silent for long and reports
 		// whether a request should move to another one.
 		ReportStalled(view *site.View, service, upstream string, versions []string, now time.Duration) bool
