Forget upstreams that are gone

Operators would see an instance's memory grow for as long as it runs, by a record for each upstream that ever answered: most starts of an upstream have a new ID, and announced shutdowns are kept there too.

Cause: the picker never dropped a record.

Evidence, before: TestUpstreamsThatAreGoneAreForgotten, case "gone": "1 (Failures) != 0" after 20,000 further upstreams and an hour.

Change: once there are 4096 records, and twice as many as were left the last time, those of upstreams that are not listed, have no request in flight and were not used for 10 min are dropped. An entry that vanishes while the store is away and comes back finds its record.

Figures: none taken of memory or time.

With the race detector, platform, proxy, pick, watch and relay pass; front has no tests of its own.

--- a/pick/leaving.go
+++ b/pick/leaving.go
@@ -25,7 +25,7 @@
 func (p *Picker) ReportLeaving(u *site.Upstream, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(u.ID)
+	r := p.record(u.ID, now)
 	if r.departures == nil {
 		r.departures = make(departures)
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -3,6 +3,7 @@
 package pick
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -58,9 +59,12 @@
 	// busyEjection is the ejection of an upstream that had no free slot; about
 	// one request of a plain service.
 	busyEjection = 25 * time.Millisecond
-	// minSweepSize is how many programs are remembered before old ones are
-	// dropped.
+	// minSweepSize is how many programs, or upstreams, are remembered before old
+	// ones are dropped.
 	minSweepSize = 4096
+	// recordTTL is how long an unlisted upstream is remembered; entries that expire
+	// while the store is down come back sooner.
+	recordTTL = 10 * time.Minute
 )
 
 // Outcomes of a request at an upstream.
@@ -120,6 +124,8 @@
 		records       map[string]*record
 		affinities    map[string]affinity
 		nextSweepSize int
+		// nextRecordSweepSize is nextSweepSize for the records.
+		nextRecordSweepSize int
 	}
 
 	// State is what a picker has observed of an upstream.
@@ -137,6 +143,7 @@
 	}
 
 	record struct {
+		usedAt         time.Duration
 		inFlight       int
 		load           Load
 		loadAt         time.Duration
@@ -168,7 +175,12 @@
 
 // NewPicker returns a picker without observations.
 func NewPicker() *Picker {
-	return &Picker{records: make(map[string]*record), affinities: make(map[string]affinity), nextSweepSize: minSweepSize}
+	return &Picker{
+		records:             make(map[string]*record),
+		affinities:          make(map[string]affinity),
+		nextSweepSize:       minSweepSize,
+		nextRecordSweepSize: minSweepSize,
+	}
 }
 
 // Pick selects the upstream for the request and counts the request as in flight
@@ -176,6 +188,7 @@
 func (p *Picker) Pick(view *site.View, req Request) *site.Upstream {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dropOldRecords(view, req.Now)
 	candidates := p.candidates(view, req, false)
 	if len(candidates) == 0 {
 		// An ejected upstream is better than none.
@@ -197,7 +210,7 @@
 func (p *Picker) Done(upstream string, outcome Outcome, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(upstream)
+	r := p.record(upstream, now)
 	r.inFlight = max(0, r.inFlight-1)
 	switch outcome {
 	case Answered:
@@ -230,7 +243,7 @@
 func (p *Picker) ReportStalled(view *site.View, service, upstream string, versions []string, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(upstream)
+	r := p.record(upstream, now)
 	r.recordResult(true, now)
 	if r.ejectedUntil <= now {
 		return false
@@ -241,7 +254,7 @@
 			continue
 		}
 		usable++
-		if p.record(u.ID).ejectedUntil > now {
+		if p.record(u.ID, now).ejectedUntil > now {
 			ejected++
 		}
 	}
@@ -285,7 +298,7 @@
 func (p *Picker) ReportLoad(upstream string, load Load, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(upstream)
+	r := p.record(upstream, now)
 	r.load, r.loadAt, r.inFlightAtLoad = load, now, r.inFlight
 }
 
@@ -293,7 +306,7 @@
 func (p *Picker) State(u *site.Upstream, now time.Duration) State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.record(u.ID)
+	r := p.record(u.ID, now)
 	return State{
 		InFlight:     r.inFlight,
 		Fill:         r.fill(u, now),
@@ -318,17 +331,33 @@
 	return h.upstream
 }
 
-func (p *Picker) record(upstream string) *record {
+func (p *Picker) record(upstream string, now time.Duration) *record {
 	r, ok := p.records[upstream]
 	if !ok {
 		r = &record{}
 		p.records[upstream] = r
 	}
+	r.usedAt = now
 	return r
 }
 
+// dropOldRecords drops those of upstreams that have left, once there are many.
+func (p *Picker) dropOldRecords(view *site.View, now time.Duration) {
+	if len(p.records) < p.nextRecordSweepSize {
+		return
+	}
+	listed := make(map[string]bool)
+	for _, u := range view.Upstreams() {
+		listed[u.ID] = true
+	}
+	maps.DeleteFunc(p.records, func(upstream string, r *record) bool {
+		return !listed[upstream] && r.inFlight == 0 && now-r.usedAt > recordTTL
+	})
+	p.nextRecordSweepSize = max(minSweepSize, 2*len(p.records))
+}
+
 func (p *Picker) start(u *site.Upstream, req Request) {
-	p.record(u.ID).inFlight++
+	p.record(u.ID, req.Now).inFlight++
 	if req.Program == "" {
 		return
 	}
@@ -350,7 +379,7 @@
 // acceptsRequests reports whether the operator and the upstream itself, by its
 // entry and its answers, allow new requests there.
 func (p *Picker) acceptsRequests(view *site.View, u *site.Upstream, now time.Duration) bool {
-	return u.State == site.Ready && !view.DomainExcluded(u.FailureDomain) && !p.record(u.ID).departures.includes(u.Incarnation, now)
+	return u.State == site.Ready && !view.DomainExcluded(u.FailureDomain) && !p.record(u.ID, now).departures.includes(u.Incarnation, now)
 }
 
 // hasVersion reports whether the upstream has one of the software versions; nil
@@ -366,7 +395,7 @@
 		if !p.acceptsRequests(view, u, req.Now) || !hasVersion(u, req.Versions) || slices.Contains(req.Tried, u.ID) {
 			continue
 		}
-		r := p.record(u.ID)
+		r := p.record(u.ID, req.Now)
 		if !includeEjected && r.ejectedUntil > req.Now {
 			continue
 		}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -268,3 +268,51 @@
 		})
 	}
 }
+
+// Records of upstreams that are gone accumulated for as long as the instance ran,
+// where each start of an upstream has a new ID.
+func TestUpstreamsThatAreGoneAreForgotten(t *testing.T) {
+	const (
+		starts = 20_000
+		later  = time.Minute + time.Hour
+	)
+	tests := []struct {
+		name   string
+		listed bool
+		busy   bool
+		recent bool
+		want   int
+	}{
+		{name: "gone"},
+		{name: "gone a moment ago", recent: true, want: 1},
+		{name: "listed", listed: true, want: 1},
+		{name: "a request is in flight", busy: true, want: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := pick.NewPicker()
+			before := newView(1, nil)
+			first := before.Pool("m")[0]
+			request := pick.Request{Service: "m", Now: time.Minute}
+			p.Pick(before, request)
+			if tt.recent {
+				request.Now = later - time.Second
+			}
+			p.Done(first.ID, pick.Broken, request.Now)
+			if tt.busy {
+				p.Pick(before, request)
+			}
+			request.Now = later
+			for i := range starts {
+				view := newView(2, func(us []*site.Upstream) {
+					us[0].Service, us[1].ID = "other", fmt.Sprintf("next-%d", i)
+					if !tt.listed {
+						us[0].ID = us[1].ID
+					}
+				})
+				p.Done(p.Pick(view, request).ID, pick.Answered, request.Now)
+			}
+			assert.Equal(t, p.State(first, request.Now).Failures, tt.want)
+		})
+	}
+}
