Decide by sent bytes whether a request was sent

A request whose connection was reset before its first byte was written got 502, though it certainly did not run and could have gone to another upstream or been refused with 503.

Cause: the trace's WroteHeaders is called when the head is in net/http's buffer, before the flush.

Change: relay.Transport counts what is written on each of its connections and returns relay.ErrNotSent if nothing of the request was. net/http waits for the end of its writer before it returns an error, so the count is final. The proxy asks for that error; without it a request may have run.

--- a/front/front.go
+++ b/front/front.go
@@ -91,7 +91,7 @@
 	keeper        *turns.Keeper
 	streams       *resume.Tracker
 	picker        *pick.Picker
-	transport     *http.Transport
+	transport     *relay.Transport
 	proxy         *proxy.Proxy
 	peerServer    *peer.Server
 	callerServer  *http.Server
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -6,9 +6,10 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/relay"
@@ -205,10 +206,8 @@
 	x.current = x.proxy.attempts.begin(u.ID, x.silenceCancel(cancel))
 	defer x.current.end()
 
-	var wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { x.current.conn.Store(&info.Conn) },
-		WroteHeaders: func() { wrote.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { x.current.conn.Store(&info.Conn) },
 	})
 	if x.record.attempts == 0 {
 		x.record.admitted = time.Since(x.start)
@@ -218,7 +217,7 @@
 	resp, err := x.proxy.Transport.RoundTrip(x.request(ctx, u, d))
 	stopTimer()
 	if err != nil {
-		return x.handleNoResponse(u, d, wrote.Load(), err)
+		return x.handleNoResponse(u, d, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return x.handleResponse(u, d, resp, timer)
@@ -306,10 +305,10 @@
 	return err.Error()
 }
 
-func (x *exchange) handleNoResponse(u *site.Upstream, d *delivery, wrote bool, err error) result {
+func (x *exchange) handleNoResponse(u *site.Upstream, d *delivery, err error) result {
 	x.proxy.Picker.Done(u.ID, x.errorOutcome(u, err, x.attemptDeadline(d)), common.Uptime())
 	x.addTrail(u, "error: "+x.failureCause(err))
-	if !wrote {
+	if errors.Is(err, relay.ErrNotSent) {
 		return notRun
 	}
 	x.record.runs++
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -92,15 +92,16 @@
 
 	// Deps are the proxy's dependencies.
 	Deps struct {
-		Log       hclog.Logger
-		Metrics   metrics.Registry
-		Codec     Codec
-		Views     Views
-		Quotas    Quotas
-		Budgets   Budgets
-		Turns     Turns
-		Streams   Streams
-		Picker    Picker
+		Log     hclog.Logger
+		Metrics metrics.Registry
+		Codec   Codec
+		Views   Views
+		Quotas  Quotas
+		Budgets Budgets
+		Turns   Turns
+		Streams Streams
+		Picker  Picker
+		// Transport returns relay.ErrNotSent for a request of which nothing was sent.
 		Transport http.RoundTripper
 	}
 
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -24,15 +24,11 @@
 	// ErrTooLarge means that the response exceeds the buffer limit.
 	ErrTooLarge = errors.ConstError("answer too large")
 
-	// maxHeaderBytes bounds the header of a response.
-	maxHeaderBytes = 64 << 10
 	// maxResponseBytes bounds a buffered response body.
 	maxResponseBytes = 8 << 20
 	// connectTimeout and unackedTimeout suit upstreams in any region.
-	connectTimeout      = time.Second
-	unackedTimeout      = 5 * time.Second
-	maxIdleConnsPerHost = 256
-	idleConnTimeout     = 30 * time.Second
+	connectTimeout = time.Second
+	unackedTimeout = 5 * time.Second
 )
 
 type (
@@ -65,18 +61,6 @@
 	}
 )
 
-// NewTransport returns a transport for calls to upstreams.
-func NewTransport(dialer *net.Dialer) *http.Transport {
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		// A faulty upstream may send a header without end.
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-}
-
 // NewPlainClient returns a client that opens a new connection for each call that isn't
 // repeatable.
 func NewPlainClient() *PlainClient {
