Send a request to an upstream once per attempt

A request without a body that must not run twice could run twice at one upstream: a GET, HEAD, OPTIONS or TRACE, or any method with Idempotency-Key, whose kept connection broke was sent again on another connection. Repeatable ones were sent more often than their route's max_attempts.

Cause: net/http resends what it regards as repeatable if a kept connection ends before the answer. The body that can't be rewound prevents that only where there is a body; a request without one has none to rewind.

Change: a connection that net/http takes for a request that was sent before sends nothing and ends the round trip with the first connection's failure. A request of which nothing was sent may still move to another connection.

--- a/relay/transport.go
+++ b/relay/transport.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -18,7 +19,8 @@
 )
 
 type (
-	// Transport is an http.Transport that knows whether a failed request was sent.
+	// Transport is an http.Transport that sends a request once at most and knows whether a
+	// failed one was sent.
 	Transport struct {
 		*http.Transport
 		// DialContext opens the connections. It replaces the field of http.Transport.
@@ -29,8 +31,11 @@
 	sending struct {
 		// conn is the connection that the request was given last.
 		conn *conn
-		// sentBefore is set if anything was, or may have been, sent on an earlier one.
-		sentBefore bool
+		// uncounted is set if the request was given a connection whose bytes aren't counted.
+		uncounted bool
+		// failure is why a connection failed on which the request was sent, if net/http
+		// then tried another one.
+		failure error
 	}
 )
 
@@ -56,15 +61,18 @@
 	return &conn{Conn: opened}, nil
 }
 
-// RoundTrip sends the request and returns the response. After ErrNotSent no byte of the
-// request was sent.
+// RoundTrip sends the request once at most and returns the response. After ErrNotSent no
+// byte of the request was sent.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var s sending
 	resp, err := t.Transport.RoundTrip(s.trace(req))
-	if err != nil && !s.sent() {
+	if err == nil {
+		return resp, nil
+	}
+	if !s.sent() {
 		return nil, errors.WithType(err, ErrNotSent)
 	}
-	return resp, err
+	return nil, cmp.Or(s.failure, err)
 }
 
 // trace returns the request with hooks that follow it.
@@ -72,16 +80,32 @@
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: s.gotConn}))
 }
 
+// gotConn is called with each connection that net/http takes for the request. It takes
+// another one if nothing was sent on the one before, or if it regards the request as
+// repeatable.
 func (s *sending) gotConn(info httptrace.GotConnInfo) {
-	s.sentBefore = s.sent()
+	if s.conn != nil {
+		if sent, readErr := s.conn.state(); sent {
+			s.failure = cmp.Or(s.failure, readErr, error(errResent))
+		}
+	}
 	c, ok := info.Conn.(*conn)
 	if !ok {
-		// The bytes sent on it aren't known.
-		s.sentBefore = true
+		s.uncounted = true
 		return
 	}
-	c.begin()
+	c.begin(s.failure != nil)
 	s.conn = c
 }
 
-func (s *sending) sent() bool { return s.sentBefore || (s.conn != nil && s.conn.sent.Load()) }
+// sent reports whether anything of the request was, or may have been, sent.
+func (s *sending) sent() bool {
+	if s.uncounted || s.failure != nil {
+		return true
+	}
+	if s.conn == nil {
+		return false
+	}
+	sent, _ := s.conn.state()
+	return sent
+}
