Ask the transport whether a plain call was sent

Since the transport returns ErrNotSent by what was written, a call that got a connection and of which nothing was sent carried both that error and ErrBroken. The client's own hook is gone, and such a call is one that was not sent.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -99,10 +97,6 @@
 // ErrNotSent the upstream certainly didn't run it; after any other error it may
 // have.
 func (p *PlainClient) Call(ctx context.Context, q PlainRequest) (PlainResponse, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
 	req, err := newPlainRequest(ctx, q)
 	if err != nil {
 		return PlainResponse{}, errors.WithType(err, ErrNotSent)
@@ -112,11 +106,11 @@
 		client = p.pooled
 	}
 	resp, err := client.Do(req)
+	if errors.Is(err, ErrNotSent) {
+		return PlainResponse{}, errors.Trace(err)
+	}
 	if err != nil {
-		if sent.Load() {
-			return PlainResponse{}, errors.WithType(err, ErrBroken)
-		}
-		return PlainResponse{}, errors.WithType(err, ErrNotSent)
+		return PlainResponse{}, errors.WithType(err, ErrBroken)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
