Avoid connections that upstreams close while they are idle

A request that must not run twice got 502 if it was sent on a connection whose announced idle time was over: the upstream closed it at that moment. A repeatable one lost an attempt, and 502 followed where there was one upstream.

Cause: the transport did not read Keep-Alive, and notices the end of an idle connection only when its read loop runs.

Change: before its first byte is written, a request is refused a connection that has been idle for its announced timeout less 200 ms, that has input or an end in its socket which net/http has not read, or on which anything was received since the request got it. Idle time counts from the last byte received, on the clock that goes on while the machine is suspended. A connection opened in advance counts as having the shortest timeout that can be announced, a second.

Nothing was sent then, so the transport goes on to another connection of the same upstream by itself, and neither attempts nor the choice of upstreams are affected. After the first byte nothing is certain any more: a connection may break because the request was read, so that still counts as a run. The proxy gives its body in a form that can be read again; that a request is sent once is ensured by the transport.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -272,7 +273,8 @@
 		ProtoMinor: 1,
 	}
 	if len(x.body) > 0 {
-		req.Body = relay.NewUnrewindableBody(x.body)
+		req.GetBody = func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(x.body)), nil }
+		req.Body = io.NopCloser(bytes.NewReader(x.body))
 		req.ContentLength = int64(len(x.body))
 	}
 	return req.WithContext(ctx)
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -2,39 +2,73 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
+	"syscall"
+	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/buckthorntide/buckthorntide/common"
 )
 
-// errResent means that net/http sends a request again that was sent before.
-const errResent = errors.ConstError("request sent again")
+const (
+	// errResent means that net/http sends a request again that was sent before.
+	errResent = errors.ConstError("request sent again")
+	// errIdle means that the upstream may close the connection before a request
+	// arrives.
+	errIdle = errors.ConstError("connection idle for too long")
+	// errUnexpected means that the upstream sent something, or closed the connection,
+	// before the request was sent.
+	errUnexpected = errors.ConstError("input without a request")
+
+	// idleMargin is the last part of the idle timeout, in which a connection is no longer
+	// used. The upstream's timeout starts before its answer arrives and runs until
+	// the next request does.
+	idleMargin = 200 * time.Millisecond
+	// unusedTimeout is the idle timeout of a connection without an answer: the
+	// shortest one that an upstream can announce.
+	unusedTimeout = time.Second
+)
 
 // conn is a connection to an upstream. One request at a time uses it.
 type conn struct {
 	net.Conn
 
 	mu sync.Mutex
-	// sent is set once anything of the request in progress was sent.
-	sent bool
+	// begun is set once the request in progress may be sent, sent once anything of it
+	// was.
+	begun, sent bool
 	// resent is set if the request in progress was sent on another connection before.
 	resent bool
-	// readErr is why nothing more can be received.
-	readErr error
+	// broken is why no further request can be answered.
+	broken error
+	// receivedAt is when anything was received last, on the clock of common.Uptime.
+	receivedAt time.Duration
+	// idleTimeout is how long the upstream keeps the connection without a request.
+	idleTimeout time.Duration
+}
+
+func newConn(opened net.Conn) *conn {
+	return &conn{Conn: opened, receivedAt: common.Uptime(), idleTimeout: unusedTimeout}
 }
 
 // begin makes the connection ready for another request.
 func (c *conn) begin(resent bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sent, c.resent = false, resent
+	c.begun, c.sent, c.resent = false, false, resent
 }
 
 // Write sends bytes of the request in progress.
 func (c *conn) Write(b []byte) (int, error) {
-	if c.isResent() {
+	switch err := c.check(); {
+	case errors.Is(err, errResent):
 		// A byte that counts as written keeps net/http from trying yet another connection.
-		return 1, errResent
+		return 1, err
+	case err != nil:
+		return 0, err
 	}
 	n, err := c.Conn.Write(b)
 	if n > 0 {
@@ -43,21 +77,42 @@
 	return n, err
 }
 
-// Read receives bytes of responses.
+// Read receives bytes of answers.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err != nil {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.readErr = err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 {
+		c.receivedAt = common.Uptime()
+	}
+	switch {
+	case c.broken != nil:
+	case err != nil:
+		c.broken = err
+	case !c.begun:
+		c.broken = errUnexpected
 	}
 	return n, err
 }
 
-func (c *conn) isResent() bool {
+// check returns why the request in progress must not be sent, or nil.
+func (c *conn) check() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.resent
+	switch {
+	case c.resent:
+		return errResent
+	case c.begun:
+		return nil
+	case c.broken != nil:
+		return c.broken
+	case common.Uptime()-c.receivedAt >= c.idleTimeout-idleMargin:
+		return errIdle
+	case hasInput(c.Conn):
+		return errUnexpected
+	}
+	c.begun = true
+	return nil
 }
 
 func (c *conn) noteSent() {
@@ -66,10 +121,36 @@
 	c.sent = true
 }
 
-// state returns whether anything of the request in progress was sent, and why nothing
-// more can be received.
-func (c *conn) state() (sent bool, readErr error) {
+// noteAnswer learns from the header of an answer how long the connection is kept.
+func (c *conn) noteAnswer(header http.Header) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleTimeout = keepAliveTimeout(header)
+}
+
+// state returns whether anything of the request in progress was sent, and why no further
+// request can be answered.
+func (c *conn) state() (sent bool, broken error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent, c.readErr
+	return c.sent, c.broken
+}
+
+// hasInput reports whether the connection has input, or its end, that no reader has seen
+// yet. It returns false for a connection without a file descriptor.
+func hasInput(opened net.Conn) bool {
+	system, ok := opened.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return true
+	}
+	ready := true
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		ready = err != nil || n > 0
+	})
+	return err != nil || ready
 }
--- a/relay/header.go
+++ b/relay/header.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"math"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // hopByHopHeaders are hop-by-hop header fields, which are never forwarded.
@@ -90,3 +93,21 @@
 	}
 	return false
 }
+
+// keepAliveTimeout returns how long the sender of the header keeps an idle connection
+// open. It is the longest duration if the Keep-Alive field doesn't tell.
+func keepAliveTimeout(header http.Header) time.Duration {
+	for _, field := range header.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(field, ",") {
+			name, value, _ := strings.Cut(parameter, "=")
+			if !strings.EqualFold(strings.TrimSpace(name), "timeout") {
+				continue
+			}
+			// 31 bits of seconds fit into a duration.
+			if seconds, err := strconv.ParseUint(strings.Trim(value, " \t\""), 10, 31); err == nil {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return math.MaxInt64
+}
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -19,8 +19,9 @@
 )
 
 type (
-	// Transport is an http.Transport that sends a request once at most and knows whether a
-	// failed one was sent.
+	// Transport is an http.Transport that sends a request once at most, knows whether a
+	// failed one was sent, and doesn't use idle connections that upstreams are about to
+	// close.
 	Transport struct {
 		*http.Transport
 		// DialContext opens the connections. It replaces the field of http.Transport.
@@ -31,6 +32,8 @@
 	sending struct {
 		// conn is the connection that the request was given last.
 		conn *conn
+		// reused is set if that connection was idle before.
+		reused bool
 		// uncounted is set if the request was given a connection whose bytes aren't counted.
 		uncounted bool
 		// failure is why a connection failed on which the request was sent, if net/http
@@ -58,26 +61,56 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened}, nil
+	return newConn(opened), nil
 }
 
 // RoundTrip sends the request once at most and returns the response. After ErrNotSent no
 // byte of the request was sent.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	var s sending
-	resp, err := t.Transport.RoundTrip(s.trace(req))
-	if err == nil {
-		return resp, nil
+	for {
+		var s sending
+		resp, err := t.Transport.RoundTrip(s.trace(req))
+		switch {
+		case err == nil:
+			s.noteAnswer(resp)
+			return resp, nil
+		case s.sent():
+			return nil, cmp.Or(s.failure, err)
+		case !s.reused || req.Context().Err() != nil:
+			return nil, errors.WithType(err, ErrNotSent)
+		}
+		// The upstream closed the connection while it was idle.
+		again, ok := rewind(req)
+		if !ok {
+			return nil, errors.WithType(err, ErrNotSent)
+		}
+		req = again
+	}
+}
+
+// rewind returns the request with its body from the start, if it can.
+func rewind(req *http.Request) (again *http.Request, ok bool) {
+	if req.Body == nil || req.Body == http.NoBody {
+		return req, true
 	}
-	if !s.sent() {
-		return nil, errors.WithType(err, ErrNotSent)
+	if req.GetBody == nil {
+		return nil, false
 	}
-	return nil, cmp.Or(s.failure, err)
+	body, err := req.GetBody()
+	if err != nil {
+		return nil, false
+	}
+	again = req.WithContext(req.Context())
+	again.Body = body
+	return again, true
 }
 
 // trace returns the request with hooks that follow it.
 func (s *sending) trace(req *http.Request) *http.Request {
-	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: s.gotConn}))
+	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GetConn: func(string) { s.reused = false },
+		GotConn: s.gotConn,
+	}))
 }
 
 // gotConn is called with each connection that net/http takes for the request. It takes
@@ -95,7 +128,13 @@
 		return
 	}
 	c.begin(s.failure != nil)
-	s.conn = c
+	s.conn, s.reused = c, info.Reused
+}
+
+func (s *sending) noteAnswer(resp *http.Response) {
+	if s.conn != nil {
+		s.conn.noteAnswer(resp.Header)
+	}
 }
 
 // sent reports whether anything of the request was, or may have been, sent.
