Check an answer before its connection is used again

A faulty upstream sent an earlier answer without a body once more. The request that was in progress got 502, as it must, but so could the next one at that upstream, which was sound: it got the same connection.

Cause, by a trace of pool and connection: net/http puts the connection of an answer without a body into its pool before it hands the answer over. The proxy then saw the foreign ID and closed the connection, and the next request was sent on it within a millisecond, before net/http noticed:

r2 pooled r2 closes 127.0.0.1:50448 r3 got 127.0.0.1:50448 r3 fails: use of closed network connection

A request that waited for a connection got it even before it was closed, and then the late answer of the one before.

Change: the check of the request ID moves into the transport's round trip. A request holds its connection until the head of its answer was checked; the next one that net/http gives it to waits for that and, if the answer was not accepted, goes on to another connection. If an answer is there before the first byte of its request, it belongs to another one: nothing was sent, and the request goes on as well. The proxy no longer closes connections itself.

--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,8 +33,6 @@
 		receivedAt atomic.Int64
 		// cancel ends the attempt; it is nil if the attempt must not be cancelled.
 		cancel context.CancelFunc
-		// conn is the connection that the request was sent on.
-		conn atomic.Pointer[net.Conn]
 		// unresponsive is set if the attempt was cancelled because the upstream
 		// sent nothing.
 		unresponsive atomic.Bool
@@ -65,13 +62,6 @@
 	}
 }
 
-// closeConn closes the attempt's connection, which has bytes of other requests.
-func (a *attempt) closeConn() {
-	if conn := a.conn.Load(); conn != nil {
-		_ = (*conn).Close()
-	}
-}
-
 // noteReceived records that the upstream sent something.
 func (a *attempt) noteReceived() { a.receivedAt.Store(int64(common.Uptime())) }
 
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"time"
 
@@ -207,9 +206,7 @@
 	x.current = x.proxy.attempts.begin(u.ID, x.silenceCancel(cancel))
 	defer x.current.end()
 
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { x.current.conn.Store(&info.Conn) },
-	})
+	ctx = relay.WithAnswerCheck(ctx, x.isAnswer)
 	if x.record.attempts == 0 {
 		x.record.admitted = time.Since(x.start)
 	}
@@ -326,8 +323,6 @@
 		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
 	}
 	if answer.RequestID != x.call.ID {
-		// The upstream's answer to this request may still follow.
-		x.current.closeConn()
 		x.proxy.Picker.Done(u.ID, pick.Broken, now)
 		x.addTrail(u, "answer to another request: "+answer.RequestID)
 		x.record.runs++
@@ -365,6 +360,12 @@
 	}
 }
 
+// isAnswer reports whether the response belongs to this request. The connection of
+// another one isn't used again, since this request's answer may still follow.
+func (x *exchange) isAnswer(resp *http.Response) bool {
+	return x.proxy.Codec.ReadAnswer(resp).RequestID == x.call.ID
+}
+
 // addTrail appends the upstream's outcome to the trail in the request's log line.
 func (x *exchange) addTrail(u *site.Upstream, outcome string) {
 	if x.record.trail != "" {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -35,6 +35,9 @@
 // conn is a connection to an upstream. One request at a time uses it.
 type conn struct {
 	net.Conn
+	// claim is held by a request until the head of its answer was checked. net/http
+	// gives the connection of an answer without a body to the next request before that.
+	claim sync.Mutex
 
 	mu sync.Mutex
 	// begun is set once the request in progress may be sent, sent once anything of it
@@ -54,13 +57,17 @@
 	return &conn{Conn: opened, receivedAt: common.Uptime(), idleTimeout: unusedTimeout}
 }
 
-// begin makes the connection ready for another request.
+// begin makes the connection ready for another request, which must call end.
 func (c *conn) begin(resent bool) {
+	c.claim.Lock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.begun, c.sent, c.resent = false, false, resent
 }
 
+// end lets the next request begin.
+func (c *conn) end() { c.claim.Unlock() }
+
 // Write sends bytes of the request in progress.
 func (c *conn) Write(b []byte) (int, error) {
 	switch err := c.check(); {
@@ -115,6 +122,33 @@
 	return nil
 }
 
+// withdraw keeps the request in progress from being sent, and returns false if it may have
+// been.
+func (c *conn) withdraw() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun {
+		return false
+	}
+	c.fail(errUnexpected)
+	return true
+}
+
+// reject ends the use of the connection, which has bytes of other requests.
+func (c *conn) reject() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fail(errUnexpected)
+}
+
+// fail closes the connection; the caller holds mu.
+func (c *conn) fail(reason error) {
+	if c.broken == nil {
+		c.broken = reason
+	}
+	_ = c.Close()
+}
+
 func (c *conn) noteSent() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -18,6 +18,10 @@
 	idleConnTimeout     = 30 * time.Second
 )
 
+// errStale means that a connection was of no use for the request any more, and that no
+// byte of it was sent.
+const errStale = errors.ConstError("connection is stale")
+
 type (
 	// Transport is an http.Transport that sends a request once at most, knows whether a
 	// failed one was sent, and doesn't use idle connections that upstreams are about to
@@ -28,9 +32,12 @@
 		DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
+	// answerCheckKey is the context key of the function that checks an answer.
+	answerCheckKey struct{}
+
 	// sending is the way of one request through the transport.
 	sending struct {
-		// conn is the connection that the request was given last.
+		// conn is the connection that the request has now.
 		conn *conn
 		// reused is set if that connection was idle before.
 		reused bool
@@ -64,30 +71,51 @@
 	return newConn(opened), nil
 }
 
+// WithAnswerCheck returns a context for a request whose answer is checked. The connection
+// of an answer that is not accepted is closed, and no other request is sent on it.
+func WithAnswerCheck(ctx context.Context, accepts func(*http.Response) bool) context.Context {
+	return context.WithValue(ctx, answerCheckKey{}, accepts)
+}
+
 // RoundTrip sends the request once at most and returns the response. After ErrNotSent no
 // byte of the request was sent.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	for {
-		var s sending
-		resp, err := t.Transport.RoundTrip(s.trace(req))
-		switch {
-		case err == nil:
-			s.noteAnswer(resp)
-			return resp, nil
-		case s.sent():
-			return nil, cmp.Or(s.failure, err)
-		case !s.reused || req.Context().Err() != nil:
-			return nil, errors.WithType(err, ErrNotSent)
+		resp, err := t.roundTrip(req)
+		if !errors.Is(err, errStale) {
+			return resp, err
 		}
-		// The upstream closed the connection while it was idle.
 		again, ok := rewind(req)
-		if !ok {
+		if !ok || req.Context().Err() != nil {
 			return nil, errors.WithType(err, ErrNotSent)
 		}
 		req = again
 	}
 }
 
+// roundTrip tries once. After errStale nothing of the request was sent, since the upstream
+// had closed its connection or sent something on it before.
+func (t *Transport) roundTrip(req *http.Request) (*http.Response, error) {
+	var s sending
+	defer s.leaveConn()
+	resp, err := t.Transport.RoundTrip(s.trace(req))
+	if err == nil && s.withdraw() {
+		_ = resp.Body.Close()
+		err = errUnexpected
+	}
+	switch {
+	case err == nil:
+		s.checkAnswer(req.Context(), resp)
+		return resp, nil
+	case s.sent():
+		return nil, cmp.Or(s.failure, err)
+	case s.reused:
+		return nil, errors.WithType(err, errStale)
+	default:
+		return nil, errors.WithType(err, ErrNotSent)
+	}
+}
+
 // rewind returns the request with its body from the start, if it can.
 func rewind(req *http.Request) (again *http.Request, ok bool) {
 	if req.Body == nil || req.Body == http.NoBody {
@@ -108,7 +136,7 @@
 // trace returns the request with hooks that follow it.
 func (s *sending) trace(req *http.Request) *http.Request {
 	return req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GetConn: func(string) { s.reused = false },
+		GetConn: func(string) { s.leaveConn() },
 		GotConn: s.gotConn,
 	}))
 }
@@ -117,11 +145,6 @@
 // another one if nothing was sent on the one before, or if it regards the request as
 // repeatable.
 func (s *sending) gotConn(info httptrace.GotConnInfo) {
-	if s.conn != nil {
-		if sent, readErr := s.conn.state(); sent {
-			s.failure = cmp.Or(s.failure, readErr, error(errResent))
-		}
-	}
 	c, ok := info.Conn.(*conn)
 	if !ok {
 		s.uncounted = true
@@ -131,10 +154,31 @@
 	s.conn, s.reused = c, info.Reused
 }
 
-func (s *sending) noteAnswer(resp *http.Response) {
-	if s.conn != nil {
-		s.conn.noteAnswer(resp.Header)
+// leaveConn lets other requests use the connection.
+func (s *sending) leaveConn() {
+	if s.conn == nil {
+		return
+	}
+	if sent, broken := s.conn.state(); sent {
+		s.failure = cmp.Or(s.failure, broken, error(errResent))
+	}
+	s.conn.end()
+	s.conn, s.reused = nil, false
+}
+
+// withdraw keeps the request from being sent, and returns false if it may have been.
+func (s *sending) withdraw() bool { return s.conn != nil && s.conn.withdraw() }
+
+func (s *sending) checkAnswer(ctx context.Context, resp *http.Response) {
+	if s.conn == nil {
+		return
+	}
+	accepts, ok := ctx.Value(answerCheckKey{}).(func(*http.Response) bool)
+	if ok && !accepts(resp) {
+		s.conn.reject()
+		return
 	}
+	s.conn.noteAnswer(resp.Header)
 }
 
 // sent reports whether anything of the request was, or may have been, sent.
