Test connections that were opened in advance

net/http opens a connection for a request that another one then serves. The new test fails without the bound on such connections (2 connections used instead of 1) and passes with it.

--- a/relay/conn_test.go
+++ b/relay/conn_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/relay"
 )
 
@@ -151,3 +153,52 @@
 	}
 	t.Logf("%d of %d requests were sent on connections that were being closed", sent, requests)
 }
+
+// Guards against the use of a connection that was opened in advance and that its upstream
+// may have kept for as long as it keeps idle ones.
+func TestConnectionOpenedInAdvanceGrowsOld(t *testing.T) {
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	var mu sync.Mutex
+	used := make(map[string]bool)
+	url, conns := countConns(t, func(_ http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		used[r.RemoteAddr] = true
+		mu.Unlock()
+		if r.URL.Path == "/slow" {
+			close(arrived)
+			<-proceed
+		}
+	})
+	transport := relay.NewTransport(relay.NewDefaultDialer())
+	t.Cleanup(transport.CloseIdleConnections)
+	dial := transport.DialContext
+	opening, open := make(chan struct{}, 1), make(chan struct{})
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if conns.Load() > 0 {
+			opening <- struct{}{}
+			<-open
+		}
+		return dial(ctx, network, address)
+	}
+	g := group.NewGroup(t.Context())
+	for _, path := range []string{"/slow", "/"} {
+		g.Go(func(context.Context) {
+			_, err := send(t, transport, url+path)
+			assert.Check(t, err)
+		})
+		if path == "/slow" {
+			<-arrived
+		}
+	}
+	<-opening
+	close(proceed)
+	g.Wait()
+	close(open)
+	time.Sleep(900 * time.Millisecond)
+	assert.Equal(t, conns.Load(), int64(2))
+	_, err := send(t, transport, url)
+	assert.NilError(t, err)
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, len(used), 1)
+}
