Let plain calls leave stale connections

A repeatable call whose connection turned out to be stale failed as one that was not sent, and its service counted as unreachable, since its body could not be read again.

Evidence: TestCallLeavesStaleConnection failed ("connection idle for too long"). TestCallIsSentOnce still passes: a call with an idempotency key is sent once.

--- a/relay/plain.go
+++ b/relay/plain.go
@@ -140,11 +140,10 @@
 	if q.Query != "" {
 		url += "?" + q.Query
 	}
-	req, err := http.NewRequestWithContext(ctx, q.Method, url, NewUnrewindableBody(q.Body))
+	req, err := http.NewRequestWithContext(ctx, q.Method, url, bytes.NewReader(q.Body))
 	if err != nil {
 		return nil, err
 	}
-	req.ContentLength = int64(len(q.Body))
 	if q.Header != nil {
 		req.Header = q.Header.Clone()
 	}
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -83,3 +83,24 @@
 	assert.Assert(t, errors.Is(err, relay.ErrBroken), "%v", err)
 	assert.Equal(t, runs.Load(), int64(2))
 }
+
+// Guards against a call that fails though it could be sent on another connection than the
+// one that its service closed while it was idle.
+func TestCallLeavesStaleConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Keep-Alive", "timeout=0")
+	}))
+	defer server.Close()
+	plain := relay.NewPlainClient()
+	defer plain.Close()
+	for range 2 {
+		_, err := plain.Call(t.Context(), relay.PlainRequest{
+			Address:    strings.TrimPrefix(server.URL, "http://"),
+			Method:     http.MethodPost,
+			Path:       "/reserve",
+			Body:       []byte("body"),
+			Repeatable: true,
+		})
+		assert.NilError(t, err)
+	}
+}
