--- a/relay/conn.go
+++ b/relay/conn.go
@@ -183,7 +183,10 @@
 	}
 	ready := true
 	err = raw.Control(func(fd uintptr) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		n, err := 0, error(unix.EINTR)
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
 		ready = err != nil || n > 0
 	})
 	return err != nil || ready
