Don't take a reset during the request for the end of its answer

Callers could get half of an answer as a whole one: an upstream answers without a length before it has read the request's body, and resets the connection. A turn that was cut so was also kept.

The kernel reports a reset once. If the write of the body gets the error, the read at the same time returns the regular end of the connection, and that is what completes an answer without a length.

TestAnswerThatIsResetWhileTheRequestIsSent failed before: 14 (looksWhole int) != 0 (int): of 20 answers that were reset 15 (looksWhole int) != 0 (int): of 20 answers that were reset (at-most-once and conversation).

Connections to upstreams now remember a failed write. A read that finds the end of the connection waits for the write in progress and returns an error if one has failed. The test passes 14 times of 14, three of them with the race detector; it was run with one processor as well.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -39,6 +40,10 @@
 	// gives the connection of an answer without a body to the next request before that.
 	claim sync.Mutex
 
+	// writing is held during a write; writeFailed is set after one that failed.
+	writing     sync.Mutex
+	writeFailed bool
+
 	mu sync.Mutex
 	// begun is set once the request in progress may be sent, sent once anything of it
 	// was.
@@ -77,16 +82,27 @@
 	case err != nil:
 		return 0, err
 	}
-	n, err := c.Conn.Write(b)
+	n, err := c.write(b)
 	if n > 0 {
 		c.noteSent()
 	}
 	return n, err
 }
 
+func (c *conn) write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	c.writeFailed = c.writeFailed || err != nil
+	return n, err
+}
+
 // Read receives bytes of answers.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.writeHasFailed() {
+		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: syscall.ECONNRESET}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
@@ -102,6 +118,15 @@
 	return n, err
 }
 
+// writeHasFailed waits for a write in progress. The kernel reports a reset once: if it
+// ends a write, a read at the same time finds the regular end of the connection, which
+// would complete an answer without a length.
+func (c *conn) writeHasFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeFailed
+}
+
 // check returns why the request in progress must not be sent, or nil.
 func (c *conn) check() error {
 	c.mu.Lock()
