Don't answer with the start of a large failure

A caller of an idempotent route could get the first 256 KB of an upstream's 500 as the whole answer: the answer of a failed attempt is kept for the case that no other succeeds, but only up to the proxy's buffer, and was then sent with that length.

TestLargeFailureIsNotCut failed before, with and without a length: 262144 of 655360 bytes look whole

A failure that fills the buffer isn't kept any more; if no attempt succeeds, the caller gets 502.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -48,7 +48,7 @@
 	// mayHaveRun means that no complete answer was received.
 	mayHaveRun
 	// failedAnswer means that the upstream ran the request and failed. Its
-	// answer is kept in case no other attempt is possible.
+	// answer is kept, unless it is too large, in case no other attempt is possible.
 	failedAnswer
 )
 
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -24,7 +24,9 @@
 	x.addTrail(u, resp.Status)
 	answer := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError && x.repeatable() {
-		d.failure = answer
+		if len(body) < maxBufferedAnswer {
+			d.failure = answer
+		}
 		return failedAnswer
 	}
 	if len(body) == maxBufferedAnswer {
