Let a stream end with empty lines

A stream whose last event was followed by one or two more line breaks counted as broken off within an event: its caller got a cut answer, its turn was not kept, and a stream that may resume ran once more. Empty lines are no event, so such a stream is whole.

TestAnswerEndsWithItsConnection failed before: stream, further line breaks: error is not nil: unexpected EOF

The event reader now passes empty lines at the end on like an event without fields. A lone CR there is a partial line still, and the stream broken off.

--- a/proxy/events.go
+++ b/proxy/events.go
@@ -44,12 +44,16 @@
 }
 
 // next returns the next complete event, io.EOF at the end of the stream, and
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// io.ErrUnexpectedEOF if the stream ends within an event. Line breaks at the end
+// are returned as an event without fields.
 func (e *eventReader) next() (event, error) {
 	e.raw, e.data = e.raw[:0], e.data[:0]
 	var ev event
 	for {
 		line, err := e.readLine()
+		if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+			return e.remainder()
+		}
 		if err != nil {
 			return event{}, err
 		}
@@ -74,14 +78,21 @@
 		case err == nil:
 			return bytes.TrimRight(e.raw[start:], "\r\n"), nil
 		case errors.Is(err, bufio.ErrBufferFull):
-		case errors.Is(err, io.EOF) && len(e.raw) > 0:
-			return nil, io.ErrUnexpectedEOF
 		default:
 			return nil, err
 		}
 	}
 }
 
+// remainder returns what the stream ended with after its last event, which may only
+// be empty lines.
+func (e *eventReader) remainder() (event, error) {
+	if !bytes.HasSuffix(e.raw, []byte("\n")) || len(bytes.Trim(e.raw, "\r\n")) > 0 {
+		return event{}, io.ErrUnexpectedEOF
+	}
+	return event{raw: e.raw}, nil
+}
+
 func (e *eventReader) parseField(ev *event, line []byte) {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
--- a/proxy/events_test.go
+++ b/proxy/events_test.go
@@ -36,6 +36,22 @@
 			data:   []string{"a"},
 			err:    io.EOF,
 		},
+		{
+			name:   "line breaks at the end",
+			stream: "id: 1\ndata: a\n\n\n\r\n",
+			raws:   []string{"id: 1\ndata: a\n\n", "\n\r\n"},
+			ids:    []string{"1", ""},
+			data:   []string{"a", ""},
+			err:    io.EOF,
+		},
+		{
+			name:   "a line break and a lone CR at the end",
+			stream: "id: 1\ndata: a\n\n\n\r",
+			raws:   []string{"id: 1\ndata: a\n\n"},
+			ids:    []string{"1"},
+			data:   []string{"a"},
+			err:    io.ErrUnexpectedEOF,
+		},
 		{
 			name:   "stream ends within an event",
 			stream: "id: 1\ndata: a\n\nid: 2\nda",
