Don't use a connection again for an ID that was refused there

A faulty upstream writes a refusal once more on a kept connection. Answers are matched by request ID, so it is taken for an answer if a request with the same ID is running there: one refused under one entry of an address and sent again under another entry of it, or one of another caller with that ID. The request then ran at a second upstream too, or its caller was told that it had not run.

A connection to an upstream remembers the IDs of requests that were refused on it. A request with such an ID closes it before a byte is written and takes another one. After 64 refusals a connection is closed, which bounds what it remembers.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -206,7 +206,7 @@
 	x.current = x.proxy.attempts.begin(u.ID, x.silenceCancel(cancel))
 	defer x.current.end()
 
-	ctx = relay.WithAnswerCheck(ctx, x.isAnswer)
+	ctx = relay.WithCheck(ctx, relay.Check{ID: x.call.ID, Accepts: x.isAnswer, Refused: x.isRefusal})
 	if x.record.attempts == 0 {
 		x.record.admitted = time.Since(x.start)
 	}
@@ -360,6 +360,9 @@
 	}
 }
 
+// isRefusal reports whether the response says that the upstream did not run the request.
+func (x *exchange) isRefusal(resp *http.Response) bool { return x.proxy.Codec.ReadAnswer(resp).NotRun }
+
 // isAnswer reports whether the response belongs to this request. The connection of
 // another one isn't used again, since this request's answer may still follow.
 func (x *exchange) isAnswer(resp *http.Response) bool {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -4,10 +4,12 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
@@ -23,6 +25,11 @@
 	// errUnexpected means that the upstream sent something, or closed the connection,
 	// before the request was sent.
 	errUnexpected = errors.ConstError("input without a request")
+	// errRefused means that a request with the same ID was refused on the connection.
+	errRefused = errors.ConstError("request was refused on this connection")
+	// errRefusals means that too many requests were refused on the connection to
+	// remember more.
+	errRefusals = errors.ConstError("too many requests were refused on this connection")
 
 	// idleMargin is the last part of the idle timeout, in which a connection is no longer
 	// used. The upstream's timeout starts before its answer arrives and runs until
@@ -31,6 +38,9 @@
 	// unusedTimeout is the idle timeout of a connection without an answer: the
 	// shortest one that an upstream can announce.
 	unusedTimeout = time.Second
+	// maxRefusals is how many refused requests a connection remembers before it is no
+	// longer used.
+	maxRefusals = 64
 )
 
 // conn is a connection to an upstream. One request at a time uses it.
@@ -50,6 +60,10 @@
 	begun, sent bool
 	// resent is set if the request in progress was sent on another connection before.
 	resent bool
+	// id is the hash of the ID of the request in progress, refusals are those of requests
+	// that were refused here.
+	id       uint64
+	refusals []uint64
 	// broken is why no further request can be answered.
 	broken error
 	// receivedAt is when anything was received last, on the clock of common.Uptime.
@@ -63,11 +77,11 @@
 }
 
 // begin makes the connection ready for another request, which must call end.
-func (c *conn) begin(resent bool) {
+func (c *conn) begin(id string, resent bool) {
 	c.claim.Lock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun, c.sent, c.resent = false, false, resent
+	c.id, c.begun, c.sent, c.resent = xxhash.Sum64String(id), false, false, resent
 }
 
 // end lets the next request begin.
@@ -142,6 +156,10 @@
 		return errIdle
 	case hasInput(c.Conn):
 		return errUnexpected
+	case slices.Contains(c.refusals, c.id):
+		// The upstream may send that refusal once more, where it can't be told from the
+		// answer to this request.
+		return errRefused
 	}
 	c.begun = true
 	return nil
@@ -180,6 +198,16 @@
 	c.sent = true
 }
 
+// noteRefusal records that the request in progress was refused.
+func (c *conn) noteRefusal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusals = append(c.refusals, c.id)
+	if len(c.refusals) >= maxRefusals && c.broken == nil {
+		c.broken = errRefusals
+	}
+}
+
 // noteAnswer learns from the header of an answer how long the connection is kept.
 func (c *conn) noteAnswer(header http.Header) {
 	c.mu.Lock()
--- a/relay/transport.go
+++ b/relay/transport.go
@@ -32,11 +32,25 @@
 		DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 	}
 
-	// answerCheckKey is the context key of the function that checks an answer.
-	answerCheckKey struct{}
+	// Check relates answers to a request.
+	Check struct {
+		// ID is the request's. It isn't sent on a connection on which a request with the
+		// same ID was refused.
+		ID string
+		// Accepts reports whether the answer belongs to the request. The connection of
+		// another answer is closed, and no other request is sent on it.
+		Accepts func(*http.Response) bool
+		// Refused reports whether an accepted answer says that the request was not run.
+		Refused func(*http.Response) bool
+	}
+
+	// checkKey is the context key of a Check.
+	checkKey struct{}
 
 	// sending is the way of one request through the transport.
 	sending struct {
+		// check is nil if answers aren't checked.
+		check *Check
 		// conn is the connection that the request has now.
 		conn *conn
 		// reused is set if that connection was idle before.
@@ -71,10 +85,9 @@
 	return newConn(opened), nil
 }
 
-// WithAnswerCheck returns a context for a request whose answer is checked. The connection
-// of an answer that is not accepted is closed, and no other request is sent on it.
-func WithAnswerCheck(ctx context.Context, accepts func(*http.Response) bool) context.Context {
-	return context.WithValue(ctx, answerCheckKey{}, accepts)
+// WithCheck returns a context for a request whose answer is checked.
+func WithCheck(ctx context.Context, check Check) context.Context {
+	return context.WithValue(ctx, checkKey{}, &check)
 }
 
 // RoundTrip sends the request once at most and returns the response. After ErrNotSent no
@@ -96,7 +109,8 @@
 // roundTrip tries once. After errStale nothing of the request was sent, since the upstream
 // had closed its connection or sent something on it before.
 func (t *Transport) roundTrip(req *http.Request) (*http.Response, error) {
-	var s sending
+	check, _ := req.Context().Value(checkKey{}).(*Check)
+	s := sending{check: check}
 	defer s.leaveConn()
 	resp, err := t.Transport.RoundTrip(s.trace(req))
 	if err == nil && s.withdraw() {
@@ -105,7 +119,7 @@
 	}
 	switch {
 	case err == nil:
-		s.checkAnswer(req.Context(), resp)
+		s.checkAnswer(resp)
 		return resp, nil
 	case s.sent():
 		return nil, cmp.Or(s.failure, err)
@@ -150,7 +164,11 @@
 		s.uncounted = true
 		return
 	}
-	c.begin(s.failure != nil)
+	id := ""
+	if s.check != nil {
+		id = s.check.ID
+	}
+	c.begin(id, s.failure != nil)
 	s.conn, s.reused = c, info.Reused
 }
 
@@ -169,16 +187,18 @@
 // withdraw keeps the request from being sent, and returns false if it may have been.
 func (s *sending) withdraw() bool { return s.conn != nil && s.conn.withdraw() }
 
-func (s *sending) checkAnswer(ctx context.Context, resp *http.Response) {
+func (s *sending) checkAnswer(resp *http.Response) {
 	if s.conn == nil {
 		return
 	}
-	accepts, ok := ctx.Value(answerCheckKey{}).(func(*http.Response) bool)
-	if ok && !accepts(resp) {
+	if s.check != nil && !s.check.Accepts(resp) {
 		s.conn.reject()
 		return
 	}
 	s.conn.noteAnswer(resp.Header)
+	if s.check != nil && s.check.Refused(resp) {
+		s.conn.noteRefusal()
+	}
 }
 
 // sent reports whether anything of the request was, or may have been, sent.
