Refuse requests without an ID

A caller's request without X-Request-Id went to an upstream, whose answer then had none either: nothing told it from a late copy of another answer, or of a refusal, on the same connection. A request that was running could so run at a second upstream too, and one caller get another's answer.

Failed before: TestRepeatedRefusal/of a request without an ID: 200 != 400 TestRequestWithoutAnIDIsNotPassedOn: 200 != 400

Upstreams refuse such requests with 400 themselves; now the proxy does.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -64,6 +64,7 @@
 		run  func() *refusal
 		time *time.Duration
 	}{
+		{run: x.checkID},
 		{run: x.findRoute},
 		{run: x.checkKey},
 		{run: x.readBody},
@@ -101,6 +102,14 @@
 	}
 }
 
+// checkID refuses requests without an ID, since upstreams' answers are matched by it.
+func (x *exchange) checkID() *refusal {
+	if x.call.ID == "" {
+		return &refusal{status: http.StatusBadRequest, reason: "the request has no ID"}
+	}
+	return nil
+}
+
 func (x *exchange) findRoute() *refusal {
 	age, known := x.proxy.Views.Age(common.Uptime())
 	x.record.configAge = age
