Don't wait for the end of a switch of protocols

An upstream that answered 101 Switching Protocols, which no request asks for, kept its caller waiting without an end: net/http hands such a connection over, and its reads end with neither the deadline nor the caller.

TestSwitchOfProtocolsIsNoAnswer failed before: the first call hung until the test's own time-out, "FAIL platform 600.012s".

Such an answer is now treated like one to another request: the connection is closed, and the request may have run.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -322,9 +322,9 @@
 	if answer.HasLoad {
 		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
 	}
-	if answer.RequestID != x.call.ID {
+	if !x.isAnswer(resp) {
 		x.proxy.Picker.Done(u.ID, pick.Broken, now)
-		x.addTrail(u, "answer to another request: "+answer.RequestID)
+		x.addTrail(u, "answer to another request: "+answer.RequestID+" "+resp.Status)
 		x.record.runs++
 		return mayHaveRun
 	}
@@ -363,10 +363,12 @@
 // isRefusal reports whether the response says that the upstream did not run the request.
 func (x *exchange) isRefusal(resp *http.Response) bool { return x.proxy.Codec.ReadAnswer(resp).NotRun }
 
-// isAnswer reports whether the response belongs to this request. The connection of
-// another one isn't used again, since this request's answer may still follow.
+// isAnswer reports whether the response is the answer to this request. The connection of
+// another one isn't used again, since this request's answer may still follow. A switch of
+// protocols is none, and its body would not end with the attempt.
 func (x *exchange) isAnswer(resp *http.Response) bool {
-	return x.proxy.Codec.ReadAnswer(resp).RequestID == x.call.ID
+	answer := x.proxy.Codec.ReadAnswer(resp)
+	return answer.RequestID == x.call.ID && answer.Status >= http.StatusOK
 }
 
 // addTrail appends the upstream's outcome to the trail in the request's log line.
