Skip rows of other parts in the platform's tables

A feed returns the rows of all parts of a table, but the operator's and the upstreams' rows are those with an empty part. A row of another writer with the same key in another part replaced or removed an upstream, or the configuration, or put a failure domain back into service.

TestRowsOfAnotherPartAreSkipped failed before: upstreams "i-2 i-3" and version 9 instead of "i-1 i-3" and version 2.

--- a/watch/operator.go
+++ b/watch/operator.go
@@ -43,7 +43,7 @@
 func (w *Watcher) applyOperator(found []rows.Row) {
 	configChanged := false
 	for _, r := range found {
-		if !w.recordIfNewer(r) {
+		if r.Part != mainPart || !w.recordIfNewer(r) {
 			continue
 		}
 		if domain, ok := w.decoder.DomainOut(r.ID); ok {
--- a/watch/upstreams.go
+++ b/watch/upstreams.go
@@ -57,7 +57,7 @@
 func (w *Watcher) applyUpstreams(found []rows.Row, now time.Duration, logged bool) bool {
 	changed := false
 	for _, r := range found {
-		if !w.recordIfNewer(r) {
+		if r.Part != mainPart || !w.recordIfNewer(r) {
 			continue
 		}
 		if r.Deleted {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -54,11 +54,10 @@
 	maxConcurrentReads = 8
 	// pageRows is the store's maximum page size.
 	pageRows = 500
+	// mainPart is the only part of the platform's own tables.
+	mainPart = ""
 )
 
-// mainPart is the only part of the platform's own tables.
-var mainPart = []string{""}
-
 type (
 	// Decoder decodes the rows that the platform writes.
 	Decoder interface {
@@ -186,7 +185,7 @@
 	operator, upstreams := w.decoder.Tables()
 	w.follow(feed{
 		table:    operator,
-		parts:    mainPart,
+		parts:    []string{mainPart},
 		holdTime: feedHoldTime,
 		whole:    w.wholeOperator,
 		rows:     w.operatorRows,
@@ -196,7 +195,7 @@
 	})
 	w.follow(feed{
 		table:    upstreams,
-		parts:    mainPart,
+		parts:    []string{mainPart},
 		interval: upstreamInterval,
 		holdTime: feedHoldTime,
 		whole:    w.wholeUpstreams,
