Bound the output of a turn

An upstream that sends events without an end on a route of conversations took the instance's memory: the output of a turn is kept until its end, and nothing bounded it but the caller's deadline.

TestAnswersWithoutEnd/events of a conversation failed before: bytes read in 0.7 s, the caller's deadline.

A stream is broken off once its output exceeds 1 MB. Such a turn could not be kept anyway: the store takes 1 MB at a time.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -14,6 +14,10 @@
 	"github.com/buckthorntide/buckthorntide/turns"
 )
 
+// maxTurnOutput bounds the output that is kept of a turn. The store takes 1 MB at a
+// time, so a larger one can't be stored.
+const maxTurnOutput = 1 << 20
+
 // relayStream forwards each event once it is complete.
 func (x *exchange) relayStream(u *site.Upstream, d *delivery, resp *http.Response, timer *time.Timer) result {
 	events := newEventReader(resp.Body)
@@ -35,6 +39,13 @@
 			timer.Reset(time.Until(x.callerDeadline))
 		}
 		x.current.noteReceived()
+		if x.route.Conversation && len(x.output)+len(ev.data) > maxTurnOutput {
+			x.proxy.Picker.Done(u.ID, pick.Broken, common.Uptime())
+			x.addTrail(u, "stream too large for a turn")
+			x.record.reason = "the turn is too large"
+			x.abort()
+			return done
+		}
 		x.startStream(u, d, resp)
 		if !x.relayEvent(ev, d, controller) {
 			x.proxy.Picker.Done(u.ID, pick.Abandoned, common.Uptime())
