Pause between reads of a table that has no history

A store that answers each feed with 410 was read as fast as it replied: each instance read the whole table, asked for changes, and began anew, which takes the calls of all others.

The first 410 still leads to a read at once. Further ones without changes in between wait, from 80 to 200 ms.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -40,6 +40,9 @@
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call.
 	minRetryDelay = 40 * time.Millisecond
 	maxRetryDelay = 200 * time.Millisecond
+	// maxCompactions is how many consecutive compactions of a table's history make the
+	// pause before it is read again longer.
+	maxCompactions = 3
 	// upstreamInterval is the pause between calls for the upstreams table, to which
 	// every upstream writes its heartbeats; it batches the changes.
 	upstreamInterval = 400 * time.Millisecond
@@ -270,6 +273,8 @@
 		var version int64
 		delay := minRetryDelay
 		lost, compacted := false, false
+		// compactions counts those since the last changes that were read.
+		compactions := 0
 		for ctx.Err() == nil {
 			if version == 0 && !compacted {
 				// Other instances may have told more than nothing.
@@ -280,6 +285,9 @@
 				if lost {
 					w.log.Info("table feed recovered", "table", f.table, "version", next)
 				}
+				if version > 0 {
+					compactions = 0
+				}
 				lost, compacted, version, delay = false, false, next, minRetryDelay
 				group.Sleep(ctx, f.interval)
 				continue
@@ -290,7 +298,12 @@
 				continue
 			}
 			if errors.Is(err, rows.ErrHistoryGone) {
-				w.log.Info("table history compacted; reading the table again", "table", f.table, "after", version)
+				if compactions == 0 {
+					w.log.Info("table history compacted; reading the table again", "table", f.table, "after", version)
+				} else {
+					group.Sleep(ctx, min(minRetryDelay<<min(compactions, maxCompactions), maxRetryDelay))
+				}
+				compactions++
 				version, compacted = 0, true
 				continue
 			}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -323,3 +323,29 @@
 	d.store.SetFault(nil, false)
 	d.within(time.Second, "back", func(*site.View) bool { return !d.watcher.StoreDown() })
 }
+
+// forgetful is a store without a history of changes.
+type forgetful struct{ *rows.Memory }
+
+func (forgetful) Feed(context.Context, string, int64, time.Duration) (rows.Page, error) {
+	return rows.Page{}, rows.ErrHistoryGone
+}
+
+// A store that has dropped its history says so at each call. Reads of the whole
+// table must keep to the pace of retries, and still show each change.
+func TestStoreWithoutAHistoryIsNotReadWithoutAPause(t *testing.T) {
+	const span = 2 * time.Second
+	d := &deployment{t: t, store: rows.NewMemory(), peer: &peer{}}
+	d.put("orders", "config", site.Config{Version: 1})
+	d.watcher = watch.NewWatcher(hclog.NewNullLogger(), forgetful{d.store}, decoder{}, d.peer, watch.Events{Works: func() {}, Lost: func() {}})
+	d.watcher.Start()
+	t.Cleanup(d.watcher.Close)
+	d.within(time.Second, "config 1", func(v *site.View) bool { return v.Version == 1 })
+	before := d.store.Calls()
+	time.Sleep(span)
+	reads := d.store.Calls() - before
+	assert.Assert(t, reads < 2*int(span/(40*time.Millisecond)), "%d reads in %s", reads, span)
+	d.put("orders", "config", site.Config{Version: 2})
+	d.within(time.Second, "config 2", func(v *site.View) bool { return v.Version == 2 })
+	assert.Assert(t, d.age() < time.Second)
+}
