Don't take an odd row for a budget without allocations

A program's row with the value null or {}, or with negative or huge numbers, passed for a record in which little or nothing was spent: the program could get its whole budget anew.

A record must name its writer, as each that an instance writes does, and hold between 0 and 2^40 tokens for each holder. The budget can't be read otherwise, and turns are refused with 503.

--- a/budget/record.go
+++ b/budget/record.go
@@ -12,6 +12,9 @@
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
+// maxRecordTokens bounds the tokens of a holder, so that sums don't overflow.
+const maxRecordTokens = 1 << 40
+
 // record is a program's row.
 type record struct {
 	Total int `json:"total"`
@@ -97,6 +100,9 @@
 		if err := json.Unmarshal(row.Value, r); err != nil {
 			return nil, errors.Trace(err)
 		}
+		if err := r.check(); err != nil {
+			return nil, errors.Trace(err)
+		}
 	}
 	if r.Allocations == nil {
 		r.Allocations = make(map[string]int)
@@ -104,6 +110,21 @@
 	return r, nil
 }
 
+// check returns an error for a row that no instance has written.
+func (r *record) check() error {
+	if r.Writer == "" {
+		return errors.New("the row is no record of a budget")
+	}
+	for _, tokens := range []map[string]int{r.Allocations, r.Provisionals, r.Returned} {
+		for holder, n := range tokens {
+			if n < 0 || n > maxRecordTokens {
+				return errors.Errorf("holder %q has %d tokens", holder, n)
+			}
+		}
+	}
+	return nil
+}
+
 func rowID(program string) rows.ID {
 	return rows.ID{Table: Table, Part: fmt.Sprintf("p%d", xxhash.Sum64String(program)%parts), Key: program}
 }
