Read a budget's row again after an odd one

A program whose row couldn't be read once was refused with 503 by that instance from then on, also after the row was a record again: the instance kept the odd row as the one last read.

TestProgramGoesOnAfterAnOddRecord failed before: error is not nil: the row is no record of a budget: after null

The odd row is forgotten; the next try learns the current one from the conflict of its write.

--- a/budget/extension.go
+++ b/budget/extension.go
@@ -82,6 +82,8 @@
 		r, err := decode(*known, total)
 		if err != nil {
 			l.log.Error("cannot decode the program's budget row", "program", program, "error", err)
+			// The next try reads it again.
+			*known = rows.Row{ID: known.ID}
 			return nil, errors.WithType(err, ErrUnavailable)
 		}
 		if known.Version == 0 {
--- a/budget/record_test.go
+++ b/budget/record_test.go
@@ -1,9 +1,13 @@
 package budget
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntide/buckthorntide/rows"
@@ -27,3 +31,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, r.sum(), 7)
 }
+
+// homeOnly are peers that a ledger with a working store asks for a program's home.
+type homeOnly struct{ Peers }
+
+func (homeOnly) Home(string) string { return "one" }
+
+// A program goes on once its row is a record again.
+func TestProgramGoesOnAfterAnOddRecord(t *testing.T) {
+	store := rows.NewMemory()
+	put := func(program, value string) {
+		_, err := store.Commit(t.Context(), rows.Txn{Writes: []rows.Write{{ID: rowID(program), Value: []byte(value)}}})
+		assert.NilError(t, err)
+	}
+	ledger := NewLedger(hclog.NewNullLogger(), store, homeOnly{}, "one", Config{IdleTTL: time.Minute, StoreDown: func() bool { return false }})
+	t.Cleanup(ledger.Close)
+	for i, odd := range []string{"null", "[]", `{"total":"100","writer":"w"}`} {
+		program := fmt.Sprint("p", i)
+		put(program, odd)
+		assert.Assert(t, errors.Is(ledger.Reserve(t.Context(), program, 100, 10, time.Second), ErrUnavailable))
+		put(program, `{"total":100,"slices":{"two":5},"writer":"w"}`)
+		assert.NilError(t, ledger.Reserve(t.Context(), program, 100, 10, time.Second), "after %s", odd)
+	}
+}
