Skip rows of the roster that name no instance

A row of the instances' table with the value null or {}, or without an address that can be dialled, counted as an instance: shares of quotas and programs' homes were assigned to it until it had been unreachable for 8 s.

TestOddRowsNameNoInstance failed before, for null, {}, an empty address, one without a port, ports 0 and 65536, and an empty key: err is nil: "null"

Such a row is now skipped like one that isn't JSON.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,10 +7,13 @@
 import (
 	"cmp"
 	"encoding/json"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
@@ -301,12 +304,23 @@
 	return names
 }
 
-// Decode decodes a row of the table.
+// Decode decodes a row of the table. It returns an error if the row names no
+// instance.
 func Decode(row rows.Row) (Entry, error) {
 	var e Entry
-	err := json.Unmarshal(row.Value, &e)
+	if err := json.Unmarshal(row.Value, &e); err != nil {
+		return Entry{}, errors.Trace(err)
+	}
 	e.Name = row.Key
-	return e, err
+	address, err := netip.ParseAddrPort(e.Address)
+	switch {
+	case err != nil:
+		return Entry{}, errors.Trace(err)
+	case address.Port() == 0 || e.Name == "":
+		return Entry{}, errors.Errorf("no instance: name %q, address %q", e.Name, e.Address)
+	default:
+		return e, nil
+	}
 }
 
 func rowID(name string) rows.ID { return rows.ID{Table: Table, Key: name} }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -166,3 +167,19 @@
 
 // minEjectionOfOne is how long a single failure ejects.
 const minEjectionOfOne = 500 * time.Millisecond
+
+// A row that names no instance must not take a share of quotas.
+func TestOddRowsNameNoInstance(t *testing.T) {
+	for _, value := range []string{
+		"", "null", "{}", "[]", "17", `{"address":5}`, `{"address":""}`, `{"address":"10.0.0.1"}`, `{"address":"10.0.0.1:0"}`,
+		`{"address":"10.0.0.1:65536"}`, `{"address":"10.0.0.1:80","start":1e400}`, `{"address":"10.0.0.1:80","start":"1"}`, strings.Repeat("[", 64<<10), "\xff",
+	} {
+		_, err := roster.Decode(rows.Row{ID: rows.ID{Table: roster.Table, Key: "one"}, Value: []byte(value)})
+		assert.Check(t, err != nil, "%.80q", value)
+	}
+	_, err := roster.Decode(rows.Row{ID: rows.ID{Table: roster.Table}, Value: []byte(`{"address":"10.0.0.1:80","start":1}`)})
+	assert.Check(t, err != nil, "without a name")
+	e, err := roster.Decode(rows.Row{ID: rows.ID{Table: roster.Table, Key: "one"}, Value: []byte(`{"name":"two","address":"10.0.0.1:80","start":1}`)})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, e, roster.Entry{Name: "one", Address: "10.0.0.1:80", Start: 1})
+}
