Begin outages of tests after the start of the watcher

Traced: the view shows the first table that was read while others are still being read, so the outage could hit the start, and the wait for an old view ended at once.

--- a/watch/outage_test.go
+++ b/watch/outage_test.go
@@ -102,6 +102,7 @@
 	store := &silent{Store: d.store}
 	d.watcher = newWatcher(t, store, d.peer)
 	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 1 })
+	d.started()
 	for _, age := range []time.Duration{2000, 2250, 2500, 2750} {
 		store.set.Store(true)
 		d.within(5*time.Second, "old", func(*site.View) bool { return d.age() > age*time.Millisecond })
@@ -204,6 +205,7 @@
 	d.put("upstreams", "gone", site.Upstream{Service: "s"})
 	d.watcher = newWatcher(t, d.store, d.peer)
 	d.within(time.Second, "upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
+	d.started()
 	d.store.SetFault(rows.ErrNotDone, false)
 	d.within(5*time.Second, "old", func(*site.View) bool { return d.age() > 1500*time.Millisecond })
 	d.store.SetFault(nil, false)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -169,6 +169,13 @@
 	}, poll.WithTimeout(limit), poll.WithDelay(5*time.Millisecond))
 }
 
+// started waits until every table was read. The view shows what was read of some before
+// that, and an outage would then hit the start.
+func (d *deployment) started() {
+	d.t.Helper()
+	d.within(time.Second, "all tables", func(*site.View) bool { return d.age() < time.Hour })
+}
+
 func (d *deployment) age() time.Duration {
 	age, ok := d.watcher.Age(common.Uptime())
 	if !ok {
@@ -208,6 +215,7 @@
 		d.put("orders", "out/a", true)
 	})
 	d.within(time.Second, "domain out", func(v *site.View) bool { return v.DomainExcluded("a") })
+	d.started()
 	d.store.SetFault(rows.ErrNotDone, false)
 	d.within(3*time.Second, "feed lost", func(*site.View) bool { return d.age() > 1200*time.Millisecond })
 	d.store.SetFault(nil, false)
@@ -270,6 +278,7 @@
 func TestFreshAtOnceAfterAnOutage(t *testing.T) {
 	d := newDeployment(t, func(d *deployment) { d.put("orders", "config", site.Config{Version: 1}) })
 	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 1 })
+	d.started()
 	d.store.SetFault(rows.ErrNotDone, false)
 	d.within(4*time.Second, "old", func(*site.View) bool { return d.age() > 2*time.Second })
 	d.store.SetFault(nil, false)
@@ -279,6 +288,7 @@
 func TestMissingUpstreamsAreKeptAfterAnOutage(t *testing.T) {
 	d := newDeployment(t, func(d *deployment) { d.put("upstreams", "i-1", site.Upstream{Service: "s"}) })
 	d.within(time.Second, "upstream", func(v *site.View) bool { return len(v.Pool("s")) == 1 })
+	d.started()
 	d.store.SetFault(rows.ErrNotDone, false)
 	d.within(4*time.Second, "old", func(*site.View) bool { return d.age() > 1500*time.Millisecond })
 	d.returnWithout("upstreams", "i-1")
@@ -315,6 +325,7 @@
 func TestStoreIsAwayForAll(t *testing.T) {
 	d := newDeployment(t, func(d *deployment) { d.put("orders", "config", site.Config{Version: 1}) })
 	d.within(time.Second, "config", func(v *site.View) bool { return v.Version == 1 })
+	d.started()
 	d.store.SetFault(rows.ErrNotDone, false)
 	d.within(4*time.Second, "old", func(*site.View) bool { return d.age() > 2500*time.Millisecond })
 	assert.Assert(t, !d.watcher.StoreDown())
