Settle reservations at their homes within a planned stop

A turn's reservation at another instance is ended by a message. If the home missed it, the next try came 250 ms later, and a planned stop cancelled that: the home counted the turn's most as spent, and callers could get 402 for tokens that no turn had used. A message that came after Broker.Close was dropped without a line in the log.

Cause: the drain waited for the callers' requests only; Broker.Close cancels what is in flight.

Evidence: TestPlannedStopSettlesReservations failed ("budget is spent"). It closed the broker only; a planned stop now has a drain before the close, so the test calls Drain, with a second's time, and checks that it reports nothing left; what it asks of the home afterwards is unchanged.

Change: Broker.Drain waits for open messages until the end of the grace period; Front.Drain calls it once the callers are answered and before the instance leaves the roster. It has 200 ms of the margin for last writes if callers were answered until the end. Messages after the close are logged.

--- a/budget/broker.go
+++ b/budget/broker.go
@@ -24,6 +24,8 @@
 	// that end a reservation; together they outlast the ejection of a home.
 	minSettleInterval = 250 * time.Millisecond
 	maxSettleInterval = 4 * time.Second
+	// drainInterval is the time between two checks of a drain for open work.
+	drainInterval = 10 * time.Millisecond
 )
 
 type (
@@ -49,7 +51,9 @@
 		ledger *Ledger
 		homes  Homes
 		ids    atomic.Int64
-		group  *group.Group
+		// settling counts the reservations whose end has not reached their home.
+		settling atomic.Int64
+		group    *group.Group
 	}
 
 	// Reservation is the budget of one turn in progress. It must be settled.
@@ -68,6 +72,14 @@
 	return &Broker{log: log, ledger: ledger, homes: homes, group: group.NewGroup(context.Background())}
 }
 
+// Drain waits until all reservations that have been settled are settled at their
+// homes too. It returns the number of those that are not when the context ends.
+func (b *Broker) Drain(ctx context.Context) int {
+	for b.settling.Load() > 0 && group.Sleep(ctx, drainInterval) {
+	}
+	return int(b.settling.Load())
+}
+
 // Close cancels messages in flight and waits for them.
 func (b *Broker) Close() { b.group.Close() }
 
@@ -124,7 +136,9 @@
 	if home == "" {
 		return
 	}
-	b.group.Go(func(ctx context.Context) {
+	b.settling.Add(1)
+	started := b.group.Go(func(ctx context.Context) {
+		defer b.settling.Add(-1)
 		var err error
 		for interval := minSettleInterval; interval <= maxSettleInterval; interval *= 2 {
 			if err = b.homes.SettleAt(ctx, home, q); err == nil {
@@ -134,8 +148,16 @@
 				break
 			}
 		}
-		b.log.Info("reservation was not settled at the program's home; its tokens count as spent", "home", home, "error", err)
+		b.logUnsettled(home, err)
 	})
+	if !started {
+		b.settling.Add(-1)
+		b.logUnsettled(home, context.Canceled)
+	}
+}
+
+func (b *Broker) logUnsettled(home string, err error) {
+	b.log.Info("reservation was not settled at the program's home; its tokens count as spent", "home", home, "error", err)
 }
 
 // Settle ends the reservation and counts the tokens that the turn handed out.
--- a/budget/stop_test.go
+++ b/budget/stop_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -25,6 +26,9 @@
 	r.Settle(used)
 	time.Sleep(50 * time.Millisecond)
 	e.fault.Store(int64(homeAnswers))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	assert.Equal(t, broker.Drain(ctx), 0)
 	broker.Close()
 	assert.NilError(t, f.home.Reserve(t.Context(), "p", total, maxTokens, time.Second))
 }
--- a/front/stop.go
+++ b/front/stop.go
@@ -26,6 +26,9 @@
 	maxMarginFraction = 8
 	// callersInterval is the time between two checks for requests in progress.
 	callersInterval = 20 * time.Millisecond
+	// minSettleTime is how long the budgets' last messages may take at least, even if
+	// callers were answered until the end.
+	minSettleTime = 200 * time.Millisecond
 	// deregisterTimeout bounds the removal of this instance from the roster.
 	deregisterTimeout = 300 * time.Millisecond
 )
@@ -47,7 +50,8 @@
 }
 
 // Drain stops the instance gracefully: the readiness check fails first, callers
-// are asked to reconnect elsewhere, and answers in flight are completed.
+// are asked to reconnect elsewhere, answers in flight are completed, and budgets are
+// settled.
 func (f *Front) Drain() {
 	grace := time.Duration(f.reloadable.Load().StopGrace)
 	plan := newStopPlan(grace)
@@ -59,10 +63,19 @@
 	f.logDrain("drain started", "grace", grace)
 	group.Sleep(ctx, plan.accept)
 	err := f.finishCallers(ctx, start.Add(plan.first))
+	unsettled := f.settleBudgets(start.Add(plan.answer))
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelDeregister()
 	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
-	f.logDrain("drain finished", "error", err, "rosterError", removeErr)
+	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled)
+}
+
+// settleBudgets ends the turns' reservations at the programs' homes, until the time
+// if that is not too soon. It returns how many are left.
+func (f *Front) settleBudgets(until time.Time) int {
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(until), minSettleTime))
+	defer cancel()
+	return f.broker.Drain(ctx)
 }
 
 // logDrain logs a step of the drain with the callers' connections that are left.
