Record provisional allocations within a planned stop

When a program's home and the holder of its provisional allocation stopped as planned just after the store was back, neither recorded it, and other instances granted the whole budget once more: callers could be handed more than the budget and one turn.

Cause: a ledger records every 400 ms and its Close ended that at once. A home that was stopping also went on granting.

Evidence: TestPlannedStopRecordsProvisionalAllocations failed ("800 tokens handed out of 600"). It now calls the drain that a planned stop has, with 300 ms for both instances, before it closes them; without the call it fails as before. What it allows is unchanged.

The mark of a recorded allocation no longer assumes that the allocation is still in memory, since two rounds may now run at a time.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -13,6 +13,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -121,9 +122,11 @@
 		startedAt    time.Duration
 		// startedStoreDown is set if the store was down when the process started.
 		startedStoreDown bool
-		home             *home
-		desk             *desk
-		group            *group.Group
+		// draining is set once a planned stop has begun.
+		draining atomic.Bool
+		home     *home
+		desk     *desk
+		group    *group.Group
 	}
 
 	// account is this instance's allocation of one program's budget.
--- a/budget/home.go
+++ b/budget/home.go
@@ -104,9 +104,10 @@
 // know, or unless the store is down for all instances: a provisional allocation is
 // lost if home and holder both fail before it is recorded. It grants none either to
 // a program of which this instance holds an allocation: if that fails as well, the
-// turn that a lost allocation earns the program would come on top.
+// turn that a lost allocation earns the program would come on top. Nor does it once
+// it stops, since it may not record it any more.
 func (l *Ledger) GrantProvisional(holder, program string, total, maxTokens int, now time.Duration) int {
-	if l.allocated(program) {
+	if l.draining.Load() || l.allocated(program) {
 		return 0
 	}
 	h := l.home
@@ -154,22 +155,27 @@
 }
 
 // recordProvisionals writes provisional allocations to the programs' rows once the
-// store is reachable: those granted by this instance as home, and those that it
-// received.
+// store is reachable.
 func (l *Ledger) recordProvisionals(ctx context.Context) {
 	for group.Sleep(ctx, recordInterval) {
-		for program, a := range l.home.unrecorded(common.Uptime()) {
-			if !l.recordProvisional(ctx, program, a) {
-				break
-			}
-			l.home.markRecorded(program, a.sum)
+		l.recordAll(ctx)
+	}
+}
+
+// recordAll writes the provisional allocations that this instance granted as home,
+// and those that it received. It stops at the first that can't be written.
+func (l *Ledger) recordAll(ctx context.Context) {
+	for program, a := range l.home.unrecorded(common.Uptime()) {
+		if !l.recordProvisional(ctx, program, a) {
+			break
 		}
-		for program, a := range l.unrecordedAccounts() {
-			if !l.recordProvisional(ctx, program, a) {
-				break
-			}
-			l.markRecorded(program, a.sum)
+		l.home.markRecorded(program, a.sum)
+	}
+	for program, a := range l.unrecordedAccounts() {
+		if !l.recordProvisional(ctx, program, a) {
+			break
 		}
+		l.markRecorded(program, a.sum)
 	}
 }
 
@@ -233,6 +239,7 @@
 func (h *home) markRecorded(program string, sum int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	a := h.provisionals[program]
-	a.recorded = a.sum == sum
+	if a, ok := h.provisionals[program]; ok {
+		a.recorded = a.sum == sum
+	}
 }
--- a/budget/stop_test.go
+++ b/budget/stop_test.go
@@ -49,7 +49,10 @@
 	}
 	assert.Assert(t, handed > 0)
 	f.restoreStore()
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
 	for _, l := range []*budget.Ledger{f.home, holder} {
+		l.Drain(ctx)
 		l.Close()
 		f.kill(l)
 	}
--- a/front/stop.go
+++ b/front/stop.go
@@ -70,12 +70,18 @@
 	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled)
 }
 
-// settleBudgets ends the turns' reservations at the programs' homes, until the time
-// if that is not too soon. It returns how many are left.
+// settleBudgets ends the turns' reservations at the programs' homes and drains the
+// ledger, until the time if that is not too soon. It returns how many reservations
+// are left.
 func (f *Front) settleBudgets(until time.Time) int {
 	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(until), minSettleTime))
 	defer cancel()
-	return f.broker.Drain(ctx)
+	g := group.NewGroup(ctx)
+	defer g.Close()
+	g.Go(f.ledger.Drain)
+	unsettled := f.broker.Drain(ctx)
+	g.Wait()
+	return unsettled
 }
 
 // logDrain logs a step of the drain with the callers' connections that are left.
