Return tokens of a program's budget once if a reply is lost

A transaction that returns unused tokens of other holders took effect, its reply was lost, and another instance wrote the row before it was sent again: the repetition met a conflict and returned the same tokens a second time, so that a program could be handed more than its budget and one turn.

Cause: a conflict says that a transaction has no effect now, not that an earlier copy had none; only a row that still holds its own value showed that.

Evidence: TestTokensAreReturnedOnce failed ("1400 tokens handed out of 1200").

Change: the row keeps the number of each holder's last transaction that granted or returned tokens. If the row of a conflict has the number that was being written, the transaction has taken effect. Records of provisional allocations are left out, since they may be made twice.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -410,9 +409,9 @@
 	a.provisional += tokens
 }
 
-func (l *Ledger) nextWriter() string {
+func (l *Ledger) nextSequence() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.sequence++
-	return l.holder + "/" + strconv.FormatInt(l.sequence, 10)
+	return l.sequence
 }
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 
 	"github.com/juju/errors"
 
@@ -62,6 +63,7 @@
 		}
 		grant = max(need, min(e.grantable(r)/2, allocationTurns*maxTokens))
 		r.Allocations[l.holder] += grant
+		r.setSequence(l.holder, l.nextSequence())
 		return nil
 	})
 	if err != nil {
@@ -74,6 +76,10 @@
 // update applies the change to the program's row, retries it on conflicts and
 // returns the written record. It starts from the row as last read and keeps that
 // up to date. Any error of the change other than errStaleRow ends it.
+//
+// A transaction whose reply is lost may have taken effect although its repetition
+// finds a row of another writer. A change that must not be made twice sets the
+// holder's sequence number, by which it is recognized then.
 func (l *Ledger) update(
 	ctx context.Context, program string, total int, known *rows.Row, change func(r *record, version int64) error,
 ) (*record, error) {
@@ -89,7 +95,7 @@
 		if known.Version == 0 {
 			r.Home = l.peers.Home(program)
 		}
-		wasHeavy := r.Heavy
+		wasHeavy, sequence := r.Heavy, r.Sequences[l.holder]
 		if err := change(r, known.Version); errors.Is(err, errStaleRow) {
 			*known = rows.Row{ID: known.ID}
 			continue
@@ -104,6 +110,13 @@
 			return r, nil
 		case errors.As(err, &conflict):
 			*known = conflict.Row(known.ID)
+			if r.Sequences[l.holder] == sequence {
+				continue
+			}
+			current, err := decode(*known, total)
+			if err == nil && current.Sequences[l.holder] == r.Sequences[l.holder] {
+				return current, nil
+			}
 		default:
 			// If the write took effect after all, the allocation counts as spent.
 			return nil, errors.WithType(err, ErrUnavailable)
@@ -161,7 +174,7 @@
 // write replaces the row by the record and returns the new row. If the program has
 // just become heavy, it also writes its row of the table of heavy programs.
 func (l *Ledger) write(ctx context.Context, current rows.Row, r *record, becameHeavy bool) (rows.Row, error) {
-	r.Writer = l.nextWriter()
+	r.Writer = l.holder + "/" + strconv.FormatInt(l.nextSequence(), 10)
 	value, err := json.Marshal(r)
 	if err != nil {
 		return rows.Row{}, errors.Trace(err)
--- /dev/null
+++ b/budget/lost_test.go
@@ -0,0 +1,72 @@
+package budget_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+// overtakenStore loses the reply to the next commit that takes effect, after another
+// instance has written too.
+type overtakenStore struct {
+	rows.Store
+	overtake func()
+}
+
+func (s *overtakenStore) Commit(ctx context.Context, txn rows.Txn) (int64, error) {
+	version, err := s.Store.Commit(ctx, txn)
+	if err != nil || s.overtake == nil {
+		return version, err
+	}
+	overtake := s.overtake
+	s.overtake = nil
+	overtake()
+	return 0, rows.ErrUnknown
+}
+
+// A transaction returns another holder's unused tokens, its reply is lost, and a third
+// instance writes the row before the transaction is sent again. Guards against a second
+// return of the same tokens, which would let the program exceed its budget.
+func TestTokensAreReturnedOnce(t *testing.T) {
+	const total, maxTokens, used = 1200, 100, 4
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	handed := 0
+	holder, third := f.start(), f.start()
+	for range total / maxTokens {
+		assert.NilError(t, holder.Reserve(t.Context(), "p", total, maxTokens, 0))
+	}
+	for i := range total / maxTokens {
+		tokens := 0
+		if i < used {
+			tokens = maxTokens
+		}
+		holder.Settle("p", maxTokens, tokens)
+		handed += tokens
+	}
+	lossy := &overtakenStore{Store: f.store}
+	l := budget.NewLedger(hclog.NewNullLogger(), lossy, f, "front-9#9", f.ledgerConfig())
+	defer l.Close()
+	f.ledgers[l.Holder()] = l
+	lossy.overtake = func() { handed += spend(t, third, total, maxTokens) }
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		err := l.Reserve(t.Context(), "p", total, maxTokens, 0)
+		if errors.Is(err, budget.ErrSpent) {
+			return poll.Success()
+		}
+		if err == nil {
+			l.Settle("p", maxTokens, maxTokens)
+			handed += maxTokens
+		}
+		return poll.Continue("%d tokens handed out, %v", handed, err)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+	assert.Assert(t, handed <= total+maxTokens, "%d tokens handed out of %d", handed, total)
+}
--- a/budget/record.go
+++ b/budget/record.go
@@ -33,6 +33,9 @@
 	Verified bool `json:"vouched,omitempty"`
 	// Writer makes each written value unique.
 	Writer string `json:"writer"`
+	// Sequences are the numbers of the holders' last transactions that granted or
+	// returned tokens.
+	Sequences map[string]int64 `json:"sequences,omitempty"`
 }
 
 // sum returns the tokens that count as spent. Returned provisional tokens are only
@@ -92,6 +95,14 @@
 	r.Provisionals[holder] = sum
 }
 
+// setSequence sets the number of the holder's transaction.
+func (r *record) setSequence(holder string, sequence int64) {
+	if r.Sequences == nil {
+		r.Sequences = make(map[string]int64)
+	}
+	r.Sequences[holder] = sequence
+}
+
 // decode decodes a program's row. A row that doesn't exist yet starts with the
 // budget that the request declares.
 func decode(row rows.Row, total int) (*record, error) {
