Return the allocations of a home that stops as planned

A program whose homes stopped one after the other got 402 for the seventh turn of a budget of eight: callers were refused turns that the budget had tokens for.

Cause: a home that stopped kept its allocations in the row. Once it had left the roster nobody could ask it for what it had not used, and the tokens counted as spent. Until then it was the home of its programs, and took further allocations.

Change: at the stop signal an instance marks its roster row as leaving, on the condition that the row is as it was read, so that a late mark can't bring a removed row back. A leaving instance is the first for no name but can still be reached; ranks for quotas stay as they are until it has left. After its callers are answered it refuses reservations by an error, upon which askers reserve by themselves, waits up to a second for the reservations that others made there, and returns the rest.

While tokens are on their way, Release fails instead of reporting none, since the asker would refuse the turn as spent.

Release returns an error now; two tests that call it check that as well.

--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -191,7 +191,9 @@
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(start) < time.Second, "%v", time.Since(start))
 	r.Settle(10)
-	assert.Equal(t, e.ledger.Release("p"), 0, "the entry has tokens of its own")
+	freed, err := e.ledger.Release("p")
+	assert.NilError(t, err)
+	assert.Equal(t, freed, 0, "the entry has tokens of its own")
 }
 
 // The store is away and returns in the moment in which all instances lose power, so
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -31,6 +31,8 @@
 
 	// errStoreSlow means that a transaction has not ended yet.
 	errStoreSlow = errors.ConstError("the store is slow")
+	// errReturning means that unused tokens are on their way back to the row.
+	errReturning = errors.ConstError("unused tokens are being returned")
 	// errStaleRow makes update read the row again.
 	errStaleRow = errors.ConstError("the row may have changed")
 
@@ -138,6 +140,8 @@
 		allowance int
 		spent     int
 		reserved  int
+		// returning are tokens that are on their way back to the row.
+		returning int
 		usedAt    time.Duration
 		// allocated is set once the program's row has an allocation of this holder.
 		allocated bool
@@ -321,19 +325,26 @@
 }
 
 // Release gives up the tokens that no turn in flight needs and returns their
-// number.
-func (l *Ledger) Release(program string) int {
+// number. It fails while this instance itself returns tokens to the row, since none
+// would look like a budget that is spent.
+func (l *Ledger) Release(program string) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a, ok := l.accounts[program]
 	if !ok {
-		return 0
+		return 0, nil
 	}
-	freed := max(0, a.allowance-a.spent-a.reserved)
+	if a.returning > 0 {
+		return 0, errReturning
+	}
+	freed := max(0, a.free())
 	a.allowance -= freed
-	return freed
+	return freed, nil
 }
 
+// free returns the tokens that no turn in flight needs.
+func (a *account) free() int { return a.allowance - a.spent - a.reserved }
+
 func (l *Ledger) account(program string, total int, now time.Duration) *account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -351,7 +362,7 @@
 
 func (l *Ledger) sweep(now time.Duration) {
 	for program, a := range l.accounts {
-		if a.reserved == 0 && a.provisional == a.recorded && now-a.usedAt > l.config.IdleTTL {
+		if a.reserved == 0 && a.returning == 0 && a.provisional == a.recorded && now-a.usedAt > l.config.IdleTTL {
 			delete(l.accounts, program)
 		}
 	}
@@ -361,7 +372,7 @@
 func (l *Ledger) take(a *account, maxTokens int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a.allowance-a.spent-a.reserved < maxTokens {
+	if a.free() < maxTokens {
 		return false
 	}
 	a.reserved += maxTokens
@@ -380,7 +391,7 @@
 func (l *Ledger) available(a *account) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return a.allowance - a.spent - a.reserved
+	return a.free()
 }
 
 // addAllocation adds an allocation, and marks the provisional ones up to the sum
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -138,7 +138,7 @@
 	if !ok {
 		return 0, errGone
 	}
-	return l.Release(program), nil
+	return l.Release(program)
 }
 
 func (f *fleet) EndProvisionals(_ context.Context, program string) (budget.Ended, error) {
--- a/budget/lost_test.go
+++ b/budget/lost_test.go
@@ -70,3 +70,25 @@
 	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
 	assert.Assert(t, handed <= total+maxTokens, "%d tokens handed out of %d", handed, total)
 }
+
+// An instance returns its tokens, and no reply comes in time. Guards against tokens that
+// it hands out although the row has them.
+func TestTokensOfALostReturnAreNotHandedOut(t *testing.T) {
+	const total, maxTokens = 1200, 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	holder, other := f.start(), f.start()
+	for range total / maxTokens {
+		assert.NilError(t, holder.Reserve(t.Context(), "p", total, maxTokens, 0))
+	}
+	for range total / maxTokens {
+		holder.Settle("p", maxTokens, 0)
+	}
+	f.store.SetFault(rows.ErrUnknown, true)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Millisecond)
+	defer cancel()
+	holder.ReturnUnused(ctx)
+	f.store.SetFault(nil, false)
+	handed := spend(t, holder, total, maxTokens) + spend(t, other, total, maxTokens)
+	assert.Assert(t, handed <= total+maxTokens, "%d tokens handed out of %d", handed, total)
+}
--- a/front/roster.go
+++ b/front/roster.go
@@ -76,6 +76,33 @@
 	f.roster.MarkListed()
 }
 
+// leave marks this instance as leaving, so that the others no longer count on it as
+// the home of programs while they still reach it.
+func (f *Front) leave(ctx context.Context) {
+	if err := f.markLeaving(ctx); err != nil {
+		f.log.Warn("cannot mark this instance as leaving on the roster", "error", err)
+	}
+}
+
+func (f *Front) markLeaving(ctx context.Context) error {
+	page, err := f.store.Range(ctx, f.roster.Own())
+	if err != nil {
+		return err
+	}
+	if len(page.Rows) == 0 || page.Rows[0].Key != f.settings.Instance {
+		return nil
+	}
+	txn, err := f.roster.Departure(page.Rows[0])
+	if err != nil {
+		return err
+	}
+	if _, err := rows.CommitUntilKnown(ctx, f.store, txn); err != nil {
+		return err
+	}
+	f.roster.MarkLeaving()
+	return nil
+}
+
 // removeLost removes instances from the roster that this one hasn't reached for
 // lostTimeout. An instance that is still running registers again.
 func (f *Front) removeLost(ctx context.Context) {
--- a/front/stop.go
+++ b/front/stop.go
@@ -29,6 +29,9 @@
 	// minSettleTime is how long the budgets' last messages may take at least, even if
 	// callers were answered until the end.
 	minSettleTime = 200 * time.Millisecond
+	// homeTime is how long turns at other instances may take to end the reservations
+	// that they made here before this instance was leaving.
+	homeTime = time.Second
 	// deregisterTimeout bounds the removal of this instance from the roster.
 	deregisterTimeout = 300 * time.Millisecond
 )
@@ -61,6 +64,13 @@
 	f.stopping.Store(true)
 	f.proxy.Drain(proxy.DrainPlan{AcceptUntil: start.Add(plan.first), AnswerBy: start.Add(plan.answer)})
 	f.logDrain("drain started", "grace", grace)
+	f.group.Go(func(context.Context) {
+		f.leave(ctx)
+		// Turns have gone to other homes when new connections end.
+		if group.Sleep(ctx, time.Until(start.Add(plan.accept))) {
+			f.ledger.ReturnUnused(ctx)
+		}
+	})
 	group.Sleep(ctx, plan.accept)
 	err := f.finishCallers(ctx, start.Add(plan.first))
 	unsettled := f.settleBudgets(start.Add(plan.answer))
@@ -78,7 +88,11 @@
 	defer cancel()
 	g := group.NewGroup(ctx)
 	defer g.Close()
-	g.Go(f.ledger.Drain)
+	g.Go(func(ctx context.Context) {
+		homeCtx, cancel := context.WithTimeout(ctx, homeTime)
+		defer cancel()
+		f.ledger.Drain(homeCtx)
+	})
 	unsettled := f.broker.Drain(ctx)
 	g.Wait()
 	return unsettled
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -48,6 +48,9 @@
 	errEjected = errors.ConstError("instance did not answer just now")
 	// errHolderGone means that the process that held an allocation has ended.
 	errHolderGone = errors.ConstError("holder has ended")
+	// errStopping refuses a reservation during a planned stop, so that the asker's own
+	// ledger makes it.
+	errStopping = errors.ConstError("instance is stopping")
 )
 
 // Client calls the peers on the roster and serves their calls. It is safe for
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -18,9 +18,16 @@
 func (m *Client) Handlers(buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store) []peer.Handler {
 	return []peer.Handler{
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
-			return &budget.ReleaseReply{Holder: m.ledger.Holder(), Freed: m.ledger.Release(q.Program)}, nil
+			freed, err := m.ledger.Release(q.Program)
+			if err != nil {
+				return nil, err
+			}
+			return &budget.ReleaseReply{Holder: m.ledger.Holder(), Freed: freed}, nil
 		}),
 		budget.Reserve.Handle(func(ctx context.Context, q *budget.ReserveRequest) (*budget.ReserveReply, error) {
+			if m.ledger.Draining() {
+				return nil, errStopping
+			}
 			return m.ledger.ReserveFor(ctx, q), nil
 		}),
 		budget.Settle.Handle(func(_ context.Context, q *budget.SettleRequest) (*budget.SettleReply, error) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,7 +29,19 @@
 	maxDoublings = 2
 )
 
+// Standings of instances, of which names are assigned to the highest.
+const (
+	// unlisted: the store has no row for this instance.
+	unlisted standing = iota
+	// departing: the instance is in a planned stop.
+	departing
+	staying
+)
+
 type (
+	// standing orders the instances before their scores for a name.
+	standing int
+
 	// Entry is one instance.
 	Entry struct {
 		// Name is the instance's name in the settings.
@@ -39,6 +51,9 @@
 		FailureDomain string `json:"failureDomain"`
 		// Start identifies the incarnation of the instance.
 		Start int64 `json:"start"`
+		// Leaving is set during a planned stop: the instance still answers, but is
+		// not the first for any name.
+		Leaving bool `json:"leaving,omitempty"`
 	}
 
 	// Roster is this instance's copy of the list. It is safe for concurrent use.
@@ -50,7 +65,9 @@
 		// listed is set while the store has a row for this instance's name. Without
 		// one the others don't count on it, so it must not act for a name that all
 		// instances assign alike.
-		listed   bool
+		listed bool
+		// leaving is set while that row says so.
+		leaving  bool
 		failures map[string]failure
 		// ranks caches this instance's ranks by name, and leaders the first instances
 		// by name, until the list changes.
@@ -91,6 +108,26 @@
 	return rows.Txn{Writes: []rows.Write{{ID: rowID(r.self.Name), Value: value}}}, nil
 }
 
+// Own returns the query for this instance's row.
+func (r *Roster) Own() rows.Query {
+	return rows.Query{Table: Table, From: r.self.Name, Limit: 1}
+}
+
+// Departure returns the transaction that marks this instance as leaving in its row.
+// It does nothing once the row was removed or written again, however late it comes.
+func (r *Roster) Departure(row rows.Row) (rows.Txn, error) {
+	e := r.self
+	e.Leaving = true
+	value, err := json.Marshal(e)
+	if err != nil {
+		return rows.Txn{}, err
+	}
+	return rows.Txn{
+		Expect: []rows.Expectation{{ID: row.ID, Version: row.Version}},
+		Writes: []rows.Write{{ID: row.ID, Value: value}},
+	}, nil
+}
+
 // Removal returns the transaction that removes the instance from the list.
 func (r *Roster) Removal(name string) rows.Txn {
 	return rows.Txn{Removes: []rows.ID{rowID(name)}}
@@ -102,8 +139,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e.Name == r.self.Name {
-		changed := !r.listed
-		r.listed = true
+		leaving := r.isLeaving(e)
+		changed := !r.listed || r.leaving != leaving
+		r.listed, r.leaving = true, leaving
 		return changed
 	}
 	if r.entries[e.Name] == e {
@@ -114,6 +152,10 @@
 	return true
 }
 
+// isLeaving reports whether the entry marks this incarnation as leaving, rather than
+// an earlier one.
+func (r *Roster) isLeaving(own Entry) bool { return own.Leaving && own.Start == r.self.Start }
+
 // Listed reports whether the store has this instance's row.
 func (r *Roster) Listed() bool {
 	r.mu.RLock()
@@ -124,6 +166,13 @@
 // MarkListed records that the store has this instance's row.
 func (r *Roster) MarkListed() { r.Set(r.self) }
 
+// MarkLeaving records that the store's row marks this instance as leaving.
+func (r *Roster) MarkLeaving() {
+	e := r.self
+	e.Leaving = true
+	r.Set(e)
+}
+
 // Remove removes an instance. It returns true if it is this instance, which must
 // then register again.
 func (r *Roster) Remove(name string) bool {
@@ -147,7 +196,8 @@
 	for _, e := range entries {
 		r.entries[e.Name] = e
 	}
-	_, r.listed = r.entries[r.self.Name]
+	own, listed := r.entries[r.self.Name]
+	r.listed, r.leaving = listed, r.isLeaving(own)
 	r.entries[r.self.Name] = r.self
 	r.rebuild()
 }
@@ -220,22 +270,33 @@
 }
 
 // First returns the instance that the name is assigned to: the first one in
-// rendezvous order.
+// rendezvous order that is not leaving, or the first one if all are.
 func (r *Roster) First(name string) Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	first, highest := r.self, uint64(0)
+	first, best, highest := r.self, unlisted, uint64(0)
 	if r.listed {
-		highest = common.RendezvousScore(r.self.Name, name)
+		best, highest = standingOf(r.leaving), common.RendezvousScore(r.self.Name, name)
 	}
 	for _, e := range r.others {
-		if s := common.RendezvousScore(e.Name, name); s > highest {
-			first, highest = e, s
+		s := standingOf(e.Leaving)
+		if s < best {
+			continue
+		}
+		if score := common.RendezvousScore(e.Name, name); s > best || score > highest {
+			first, best, highest = e, s, score
 		}
 	}
 	return first
 }
 
+func standingOf(leaving bool) standing {
+	if leaving {
+		return departing
+	}
+	return staying
+}
+
 // Rank returns this instance's rank in rendezvous order for the name, and the
 // number of instances. An instance that isn't listed comes last. It caches the
 // ranks of all names, so that requests don't score the whole list.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -61,6 +61,49 @@
 	assert.Equal(t, names(r.Leaders("p1", r.Len()))[rank], "a")
 }
 
+// Guards against programs whose home is stopping: it is the first for no name unless
+// all others stop too, while everything else that it is asked for stays as it was.
+func TestLeavingInstanceIsFirstForNothing(t *testing.T) {
+	r := newRoster(t, "a", "b", "c")
+	r.Set(roster.Entry{Name: "b", Start: 1, Leaving: true})
+	r.MarkLeaving()
+	assert.Equal(t, r.Len(), 3)
+	_, known := r.Find("b")
+	assert.Assert(t, known)
+	for _, name := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+		assert.Equal(t, r.First(name).Name, "c")
+		rank, _ := r.Rank(name)
+		assert.Equal(t, names(r.Leaders(name, r.Len()))[rank], "a")
+	}
+	r.Set(roster.Entry{Name: "c", Start: 1, Leaving: true})
+	for _, name := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+		assert.Equal(t, r.First(name).Name, r.Leaders(name, 1)[0].Name)
+	}
+	// The row of an earlier process of the instance.
+	r.Set(roster.Entry{Name: "a", Start: -1, Leaving: true})
+	for _, name := range []string{"p1", "p2", "p3", "p4", "p5", "p6"} {
+		assert.Equal(t, r.First(name).Name, "a")
+	}
+}
+
+// A mark that comes late must not bring the row of an instance back that has left.
+func TestLateDepartureDoesNothing(t *testing.T) {
+	store := rows.NewMemory()
+	r := roster.NewRoster(roster.Entry{Name: "a", Start: 7})
+	txn, err := r.Registration()
+	assert.NilError(t, err)
+	_, err = store.Commit(t.Context(), txn)
+	assert.NilError(t, err)
+	page, err := store.Range(t.Context(), r.Own())
+	assert.NilError(t, err)
+	departure, err := r.Departure(page.Rows[0])
+	assert.NilError(t, err)
+	_, err = store.Commit(t.Context(), r.Removal("a"))
+	assert.NilError(t, err)
+	_, err = store.Commit(t.Context(), departure)
+	assert.ErrorIs(t, err, rows.ErrConflict)
+}
+
 func TestRegistrationRoundTrip(t *testing.T) {
 	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
 	txn, err := roster.NewRoster(e).Registration()
