Refuse no turn as spent while a slow home may hold its tokens

Some first turns of programs with small budgets got 402 although nothing had been spent. 402 promises that the budget is spent, so it ended the program.

Cause: a home that answered later than 50 ms had made the reservation all the same. The asker cancelled it in the background and fell back to its own ledger at once, which found all tokens granted to the home and the home without any to release, since they were reserved for this very turn. The cancellation also waited for the end of the home's ejection, 0.5 s or more, so that the home itself answered the resent turn with "spent".

Change: if the asker's ledger finds the budget spent after a home did not answer, the turn waits up to 300 ms until the home has confirmed the cancellation, and asks its ledger again; without a confirmation it is refused with 503. Ends of reservations are sent to ejected instances too. A home that is dead costs a spent program one 503 before its 402: while it is ejected nothing is sent there, and the answer is certain again.

--- a/budget/broker.go
+++ b/budget/broker.go
@@ -24,6 +24,9 @@
 	// that end a reservation; together they outlast the ejection of a home.
 	minSettleInterval = 250 * time.Millisecond
 	maxSettleInterval = 4 * time.Second
+	// cancelWait is how long a turn waits until its reservation at a home that did not
+	// answer is cancelled, before it is refused.
+	cancelWait = 300 * time.Millisecond
 	// drainInterval is the time between two checks of a drain for open work.
 	drainInterval = 10 * time.Millisecond
 )
@@ -86,21 +89,48 @@
 // Reserve reserves the maximum tokens of a turn. ErrSpent and ErrUnavailable mean
 // that nothing was reserved.
 func (b *Broker) Reserve(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
+	var cancelled <-chan struct{}
 	if !b.homes.IsHome(program) {
-		r, err := b.reserveAtHome(ctx, program, total, maxTokens)
-		if r != nil || errors.Is(err, ErrSpent) || errors.Is(err, ErrUnavailable) {
+		r, atHome, err := b.reserveAtHome(ctx, program, total, maxTokens)
+		if r != nil || err != nil {
 			return r, err
 		}
+		cancelled = atHome
 	}
-	if err := b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime()); err != nil {
+	err := b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime())
+	if errors.Is(err, ErrSpent) && cancelled != nil {
+		// The home may hold the tokens for this turn.
+		if !waitFor(ctx, cancelled, cancelWait) {
+			return nil, errors.Annotate(ErrUnavailable, "the program's home does not answer")
+		}
+		err = b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime())
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &Reservation{broker: b, program: program, maxTokens: maxTokens}, nil
 }
 
+// waitFor reports whether the channel is closed in time.
+func waitFor(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // reserveAtHome returns neither a reservation nor an error if the home can't be
-// reached. While the home waits for the store, it is asked again.
-func (b *Broker) reserveAtHome(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
+// reached. If it may have made the reservation nevertheless, the channel is closed
+// when that is cancelled. While the home waits for the store, it is asked again.
+func (b *Broker) reserveAtHome(
+	ctx context.Context, program string, total, maxTokens int,
+) (r *Reservation, cancelled <-chan struct{}, err error) {
 	q := &ReserveRequest{
 		ID:        b.ledger.Holder() + "/" + strconv.FormatInt(b.ids.Add(1), 10),
 		Program:   program,
@@ -112,36 +142,38 @@
 	for {
 		reply, home, err := b.homes.ReserveAtHome(ctx, q, q.Wait+homeMargin)
 		if err != nil {
-			b.settle(home, &SettleRequest{ID: q.ID})
-			return nil, nil
+			if home == "" {
+				return nil, nil, nil
+			}
+			return nil, b.settle(home, &SettleRequest{ID: q.ID}), nil
 		}
 		switch reply.Outcome {
 		case Reserved:
-			return &Reservation{broker: b, program: program, maxTokens: maxTokens, home: home, id: q.ID}, nil
+			return &Reservation{broker: b, program: program, maxTokens: maxTokens, home: home, id: q.ID}, nil, nil
 		case Spent:
-			return nil, ErrSpent
+			return nil, nil, ErrSpent
 		case Waiting:
 			if ctx.Err() == nil && common.Uptime() < until {
 				q.Wait = homeWait
 				continue
 			}
 		}
-		return nil, errors.Annotate(ErrUnavailable, "at the program's home")
+		return nil, nil, errors.Annotate(ErrUnavailable, "at the program's home")
 	}
 }
 
 // settle ends a reservation at another instance, and tries again while that can't be
-// reached: a reservation that isn't ended counts as spent.
-func (b *Broker) settle(home string, q *SettleRequest) {
-	if home == "" {
-		return
-	}
+// reached: a reservation that isn't ended counts as spent. The channel is closed when
+// the other instance has ended it.
+func (b *Broker) settle(home string, q *SettleRequest) <-chan struct{} {
+	settled := make(chan struct{})
 	b.settling.Add(1)
 	started := b.group.Go(func(ctx context.Context) {
 		defer b.settling.Add(-1)
 		var err error
 		for interval := minSettleInterval; interval <= maxSettleInterval; interval *= 2 {
 			if err = b.homes.SettleAt(ctx, home, q); err == nil {
+				close(settled)
 				return
 			}
 			if !group.Sleep(ctx, interval) {
@@ -154,6 +186,7 @@
 		b.settling.Add(-1)
 		b.logUnsettled(home, context.Canceled)
 	}
+	return settled
 }
 
 func (b *Broker) logUnsettled(home string, err error) {
--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -28,12 +28,18 @@
 
 type homeFault int
 
+// slowHomeTime exceeds the time that an asker waits for a home.
+const slowHomeTime = 60 * time.Millisecond
+
 const (
 	homeAnswers homeFault = iota
 	// homeUnreachable: the message is not delivered.
 	homeUnreachable
 	// replyLost: the home makes the reservation, and its reply is lost.
 	replyLost
+	// homeSlow: the home makes the reservation, its reply comes too late, and further
+	// messages take as long.
+	homeSlow
 	// homeFrozen: the home gets the message after it was given up.
 	homeFrozen
 )
@@ -48,7 +54,7 @@
 	switch homeFault(e.fault.Load()) {
 	case homeUnreachable:
 		return nil, home.Holder(), errGone
-	case replyLost:
+	case replyLost, homeSlow:
 		home.ReserveFor(ctx, q)
 		return nil, home.Holder(), errGone
 	case homeFrozen:
@@ -69,6 +75,9 @@
 	if homeFault(e.fault.Load()) == homeUnreachable {
 		return errGone
 	}
+	if homeFault(e.fault.Load()) == homeSlow {
+		time.Sleep(slowHomeTime)
+	}
 	l.SettleFor(q)
 	return nil
 }
@@ -280,3 +289,40 @@
 	}, poll.WithTimeout(5*time.Second), poll.WithDelay(50*time.Millisecond))
 	r.Settle(0)
 }
+
+// A home makes the reservation of a program's only turn too late for the asker, which
+// falls back to its own ledger. Guards against a 402 although nothing was spent: the home
+// holds the tokens for the same turn until the cancellation reaches it.
+func TestSlowHomeIsNoSpentBudget(t *testing.T) {
+	const maxTokens = 100
+	for _, turns := range []int{1, 2} {
+		f := newFleet(0, time.Hour)
+		broker, e := f.newBroker()
+		for range turns {
+			e.fault.Store(int64(homeSlow))
+			r, err := broker.Reserve(t.Context(), "p", turns*maxTokens, maxTokens)
+			assert.NilError(t, err)
+			r.Settle(maxTokens)
+		}
+		_, err := broker.Reserve(t.Context(), "p", turns*maxTokens, maxTokens)
+		assert.ErrorIs(t, err, budget.ErrSpent)
+		broker.Close()
+		f.close()
+	}
+}
+
+// As before, but the cancellation doesn't reach the home either, so it isn't known
+// whether the budget is spent.
+func TestUnreachableHomeIsNoSpentBudget(t *testing.T) {
+	const maxTokens = 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	broker, e := f.newBroker()
+	defer broker.Close()
+	assert.Equal(t, f.home.ReserveFor(t.Context(), &budget.ReserveRequest{
+		ID: "late", Program: "p", Total: maxTokens, MaxTokens: maxTokens, Wait: time.Second,
+	}).Outcome, budget.Reserved)
+	e.fault.Store(int64(homeUnreachable))
+	_, err := broker.Reserve(t.Context(), "p", maxTokens, maxTokens)
+	assert.ErrorIs(t, err, budget.ErrUnavailable)
+}
--- a/peers/home.go
+++ b/peers/home.go
@@ -52,13 +52,14 @@
 }
 
 // SettleAt ends a reservation at the process with the holder name, or does nothing
-// if that has ended.
+// if that has ended. It asks an ejected home too, since the program can't use the
+// reserved tokens until then.
 func (m *Client) SettleAt(ctx context.Context, home string, q *budget.SettleRequest) error {
 	e, err := m.holder(home)
 	if err != nil {
 		return nil
 	}
-	_, err = call(ctx, m, budget.Settle, e, q, settleTimeout)
+	_, err = callNow(ctx, m, budget.Settle, e, q, settleTimeout)
 	return err
 }
 
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -239,6 +239,11 @@
 	if m.roster.Ejected(e.Name, common.Uptime()) {
 		return nil, errEjected
 	}
+	return callNow(ctx, m, method, e, q, timeout)
+}
+
+// callNow is a call that is also made while the peer is ejected.
+func callNow[Q, R any](ctx context.Context, m *Client, method peer.Method[Q, R], e roster.Entry, q *Q, timeout time.Duration) (*R, error) {
 	conn, err := m.conns.To(e.Address)
 	if err != nil {
 		return nil, errors.Trace(err)
