Refuse no turn as spent while a holder's tokens are in transit

A program that had spent nothing could get 402, with a home that was slow and without a stop: the home's transaction had taken effect, so the row counted the allocation, but the home hadn't heard of it yet and had nothing to release to the instance that took its place.

Cause: Release reports the tokens that a holder has at the moment. None may mean that it gets some or gives some back by a transaction in flight.

Evidence: TestAllocationOnItsWayIsNoSpentBudget failed ("budget is spent").

Change: Release fails with ErrInTransit if it frees nothing while the holder has a transaction of the program in flight. What a holder frees in a second round is added to the first.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -31,8 +31,10 @@
 
 	// errStoreSlow means that a transaction has not ended yet.
 	errStoreSlow = errors.ConstError("the store is slow")
-	// errReturning means that unused tokens are on their way back to the row.
-	errReturning = errors.ConstError("unused tokens are being returned")
+	// ErrInTransit means that a holder has no tokens to release, but may get some, or
+	// return some to the row, by a transaction in flight.
+	ErrInTransit = errors.ConstError("tokens are in transit")
+
 	// errStaleRow makes update read the row again.
 	errStaleRow = errors.ConstError("the row may have changed")
 
@@ -325,8 +327,8 @@
 }
 
 // Release gives up the tokens that no turn in flight needs and returns their
-// number. It fails while this instance itself returns tokens to the row, since none
-// would look like a budget that is spent.
+// number. It fails with ErrInTransit if there are none while a transaction of the
+// program is in flight.
 func (l *Ledger) Release(program string) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -334,10 +336,10 @@
 	if !ok {
 		return 0, nil
 	}
-	if a.returning > 0 {
-		return 0, errReturning
-	}
 	freed := max(0, a.free())
+	if freed == 0 && len(a.refillLock) > 0 {
+		return 0, ErrInTransit
+	}
 	a.allowance -= freed
 	return freed, nil
 }
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -4,12 +4,18 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
+// transitInterval is the time after which a holder whose tokens are in transit is asked
+// again; a transaction takes about 10 ms.
+const transitInterval = 25 * time.Millisecond
+
 // extension is one attempt to reserve a further allocation.
 type extension struct {
 	program   string
@@ -23,10 +29,12 @@
 	// no running process may know the provisional allocations of earlier ones.
 	mayLackProvisional bool
 	// reclaimed is set once the other holders were asked; freed are the tokens that
-	// they returned, holderLost is set if one of them was unreachable.
+	// they returned, holderLost is set if one of them was unreachable, inTransit if
+	// one of them has tokens in transit.
 	reclaimed  bool
 	freed      map[string]int
 	holderLost bool
+	inTransit  bool
 }
 
 // extend reserves a further allocation of the program's budget in the store.
@@ -58,6 +66,10 @@
 		if !r.Heavy && !e.endRequested && r.sum()+need > heavyPercent*r.Total/100 {
 			l.endProvisionals(ctx, e, r)
 		}
+		if e.grantable(r) < need && e.inTransit && group.Sleep(ctx, transitInterval) {
+			e.reclaimed, e.inTransit = false, false
+			return errStaleRow
+		}
 		if e.grantable(r) < need {
 			return l.refuse(e, r, need, version)
 		}
@@ -165,6 +177,9 @@
 	if !r.Heavy && e.homeErr != nil && e.limit(r)-r.sum() >= need {
 		return errors.WithType(e.homeErr, ErrUnavailable)
 	}
+	if e.inTransit {
+		return errors.WithType(ErrInTransit, ErrUnavailable)
+	}
 	l.log.Info("refused turn: the budget is spent", "program", e.program, "total", r.Total,
 		"granted", r.sum(), "returned", total(r.Returned), "needed", need, "rowVersion", version, "holderLost", e.holderLost,
 		"spender", r.Heavy, "vouched", r.Verified)
@@ -206,14 +221,19 @@
 			continue
 		}
 		got, err := l.peers.Release(ctx, holder, e.program)
+		if errors.Is(err, ErrInTransit) {
+			e.inTransit = true
+			continue
+		}
 		if err != nil {
 			l.log.Info("budget holder unreachable; counting its reserved tokens as spent",
 				"program", e.program, "holder", holder, "slice", r.Allocations[holder], "held", held, "error", err)
 			e.holderLost = e.holderLost || r.Allocations[holder] > 0
 			continue
 		}
-		e.freed[holder] = min(got, held)
-		r.returnTokens(holder, e.freed[holder])
+		freed := min(got, held)
+		e.freed[holder] += freed
+		r.returnTokens(holder, freed)
 	}
 }
 
--- a/budget/lost_test.go
+++ b/budget/lost_test.go
@@ -92,3 +92,48 @@
 	handed := spend(t, holder, total, maxTokens) + spend(t, other, total, maxTokens)
 	assert.Assert(t, handed <= total+maxTokens, "%d tokens handed out of %d", handed, total)
 }
+
+// lateStore commits at once and replies later.
+type lateStore struct {
+	rows.Store
+	delay time.Duration
+}
+
+func (s *lateStore) Commit(ctx context.Context, txn rows.Txn) (int64, error) {
+	version, err := s.Store.Commit(ctx, txn)
+	time.Sleep(s.delay)
+	return version, err
+}
+
+// The row has an allocation whose holder hasn't heard of it yet. Guards against a 402 for
+// a program that has spent nothing: the holder has no tokens to release yet.
+func TestAllocationOnItsWayIsNoSpentBudget(t *testing.T) {
+	const maxTokens = 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	late := &lateStore{Store: f.store, delay: 100 * time.Millisecond}
+	holder := budget.NewLedger(hclog.NewNullLogger(), late, f, "front-9#9", f.ledgerConfig())
+	defer holder.Close()
+	f.ledgers[holder.Holder()] = holder
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	assert.ErrorIs(t, holder.Reserve(ctx, "p", maxTokens, maxTokens, 0), budget.ErrUnavailable)
+	other := f.start()
+	reserveUnlessSpent(t, other, maxTokens, maxTokens)
+}
+
+// reserveUnlessSpent reserves a turn, and tries again while the budget can't be read.
+func reserveUnlessSpent(t *testing.T, l *budget.Ledger, total, maxTokens int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		err := l.Reserve(t.Context(), "p", total, maxTokens, 0)
+		switch {
+		case err == nil:
+			return poll.Success()
+		case errors.Is(err, budget.ErrUnavailable):
+			return poll.Continue("%v", err)
+		default:
+			return poll.Error(err)
+		}
+	}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(5*time.Second))
+}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -97,6 +97,9 @@
 		return 0, err
 	}
 	reply, err := call(ctx, m, budget.Release, e, &budget.ReleaseRequest{Program: program}, callTimeout)
+	if errors.Is(err, peer.ErrFailed) {
+		return 0, errors.WithType(err, budget.ErrInTransit)
+	}
 	if err != nil {
 		return 0, err
 	}
