Move the tracking of connections to package drain

Step towards the planned stop of the own interface, which lacks what the platform's path got in: connections are closed, and their requests accepted, under one lock.

Change: front/callers.go, the hooks that go with it, the order of closes in finishCallers, the plan of a stop and the description of a request's connection move from front and proxy to the new package drain. drain.Server joins a listener, its HTTP server and its connections; drain.State is the planned stop that a handler asks about. No behaviour changes.

--- a/front/callers_test.go
+++ b/drain/batch_test.go
@@ -1,4 +1,4 @@
-package front
+package drain
 
 import (
 	"testing"
--- a/front/callers.go
+++ b/drain/conns.go
@@ -1,4 +1,4 @@
-package front
+package drain
 
 import (
 	"context"
@@ -11,7 +11,6 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
-	"github.com/buckthorntide/buckthorntide/proxy"
 )
 
 const (
@@ -24,50 +23,48 @@
 )
 
 type (
-	// callerConns tracks the callers' connections and closes those without a request
-	// in a planned stop. Whether a connection is closed or its request accepted is
-	// decided under one lock, so that no request is passed on whose answer has no
-	// connection left.
-	callerConns struct {
-		mu    sync.Mutex
-		conns map[net.Conn]*callerConn
+	// conns tracks a server's connections and closes those without a request in a
+	// planned stop. Whether a connection is closed or its request accepted is decided
+	// under one lock, so that no request is handled whose answer has no connection
+	// left.
+	conns struct {
+		mu   sync.Mutex
+		open map[net.Conn]*conn
 		// closing are the states in which connections are closed from now on.
 		closing map[http.ConnState]bool
 		// dropped counts requests that crossed the close of their connection.
 		dropped int
 	}
 
-	// callerConn is one connection of a caller.
-	callerConn struct {
-		proxy.CallerConn
+	// conn is one connection. Its Info is updated before each request and doesn't
+	// change while one is in progress.
+	conn struct {
+		Info
 		state http.ConnState
 		// since is when the state began, on the clock of common.Uptime.
 		since  time.Duration
 		closed bool
 	}
 
-	// connCounts counts the callers' connections by state: fresh ones were accepted
-	// and have sent no request yet.
-	connCounts struct {
-		fresh, active, idle int
-		// dropped counts requests that crossed the close of their connection.
-		dropped int
+	// Counts counts a server's connections by state: fresh ones were accepted and
+	// have sent no request yet.
+	Counts struct {
+		Fresh, Active, Idle int
+		// Dropped counts requests that crossed the close of their connection.
+		Dropped int
 	}
-
-	// callerConnKey is the context key of a callerConn.
-	callerConnKey struct{}
 )
 
-func newCallerConns() *callerConns {
-	return &callerConns{conns: make(map[net.Conn]*callerConn), closing: make(map[http.ConnState]bool)}
+func newConns() *conns {
+	return &conns{open: make(map[net.Conn]*conn), closing: make(map[http.ConnState]bool)}
 }
 
 // handler passes requests to the next handler unless their connection was closed
 // before they were read.
-func (c *callerConns) handler(next http.Handler) http.Handler {
+func (c *conns) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		caller, ok := r.Context().Value(callerConnKey{}).(*callerConn)
-		if ok && !c.begin(caller) {
+		one, ok := r.Context().Value(connKey{}).(*conn)
+		if ok && !c.begin(one) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
@@ -75,48 +72,48 @@
 }
 
 // begin reports whether a request of the connection may be handled.
-func (c *callerConns) begin(caller *callerConn) bool {
+func (c *conns) begin(one *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if caller.closed {
+	if one.closed {
 		c.dropped++
 		return false
 	}
 	// The server doesn't report a request that it had read together with the one
 	// before.
-	caller.enter(http.StateActive)
+	one.enter(http.StateActive)
 	return true
 }
 
 // connContext is the server's hook for a new connection's context.
-func (c *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
-	caller := &callerConn{state: http.StateNew, since: common.Uptime()}
+func (c *conns) connContext(ctx context.Context, netConn net.Conn) context.Context {
+	one := &conn{state: http.StateNew, since: common.Uptime()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn] = caller
-	return proxy.WithCallerConn(context.WithValue(ctx, callerConnKey{}, caller), &caller.CallerConn)
+	c.open[netConn] = one
+	return context.WithValue(ctx, connKey{}, one)
 }
 
 // setState is the server's hook for changes of a connection's state.
-func (c *callerConns) setState(conn net.Conn, state http.ConnState) {
+func (c *conns) setState(netConn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	caller, ok := c.conns[conn]
+	one, ok := c.open[netConn]
 	switch {
 	case !ok:
 		return
 	case state == http.StateClosed || state == http.StateHijacked:
-		delete(c.conns, conn)
+		delete(c.open, netConn)
 		return
 	}
-	caller.enter(state)
+	one.enter(state)
 	if c.closing[state] {
-		caller.close(conn)
+		one.close(netConn)
 	}
 }
 
 // enter changes the connection's state.
-func (c *callerConn) enter(state http.ConnState) {
+func (c *conn) enter(state http.ConnState) {
 	if c.state == state {
 		return
 	}
@@ -128,24 +125,24 @@
 	c.state, c.since = state, now
 }
 
-func (c *callerConn) close(conn net.Conn) {
+func (c *conn) close(netConn net.Conn) {
 	if c.closed {
 		return
 	}
 	c.closed = true
 	// The server reports the close again and logs nothing about it.
-	_ = conn.Close()
+	_ = netConn.Close()
 }
 
 // closeAll closes the connections in the state, now and whenever one enters it. It
 // pauses after each batch, so that requests which have arrived meanwhile are read and
 // answered instead of being dropped.
-func (c *callerConns) closeAll(ctx context.Context, state http.ConnState) {
+func (c *conns) closeAll(ctx context.Context, state http.ConnState) {
 	c.mu.Lock()
 	c.closing[state] = true
-	conns := slices.Collect(maps.Keys(c.conns))
+	open := slices.Collect(maps.Keys(c.open))
 	c.mu.Unlock()
-	for batch := range slices.Chunk(conns, closeBatchSize(len(conns))) {
+	for batch := range slices.Chunk(open, closeBatchSize(len(open))) {
 		if c.closeBatch(batch, state) > 0 {
 			group.Sleep(ctx, closePause)
 		}
@@ -160,32 +157,32 @@
 
 // closeBatch closes those of the connections that are in the state and returns their
 // number.
-func (c *callerConns) closeBatch(batch []net.Conn, state http.ConnState) int {
+func (c *conns) closeBatch(batch []net.Conn, state http.ConnState) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	closed := 0
-	for _, conn := range batch {
-		if caller, ok := c.conns[conn]; ok && caller.state == state && !caller.closed {
-			caller.close(conn)
+	for _, netConn := range batch {
+		if one, ok := c.open[netConn]; ok && one.state == state && !one.closed {
+			one.close(netConn)
 			closed++
 		}
 	}
 	return closed
 }
 
-func (c *callerConns) counts() connCounts {
+func (c *conns) counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := connCounts{dropped: c.dropped}
-	for _, caller := range c.conns {
+	n := Counts{Dropped: c.dropped}
+	for _, one := range c.open {
 		switch {
-		case caller.closed:
-		case caller.state == http.StateNew:
-			n.fresh++
-		case caller.state == http.StateActive:
-			n.active++
-		case caller.state == http.StateIdle:
-			n.idle++
+		case one.closed:
+		case one.state == http.StateNew:
+			n.Fresh++
+		case one.state == http.StateActive:
+			n.Active++
+		case one.state == http.StateIdle:
+			n.Idle++
 		}
 	}
 	return n
--- a/front/front.go
+++ b/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/buckthorntide/buckthorntide/bypass"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/peers"
@@ -67,8 +68,12 @@
 	headerTimeout = 10 * time.Second
 )
 
-// callerListener is the index of the listener for callers.
-const callerListener = 0
+// Indices of the listeners.
+const (
+	callerListener = iota
+	readyListener
+	metricsListener
+)
 
 // Front is one instance. Start and then Close must be called once each.
 type Front struct {
@@ -94,8 +99,7 @@
 	transport     *relay.Transport
 	proxy         *proxy.Proxy
 	peerServer    *peer.Server
-	callerServer  *http.Server
-	callers       *callerConns
+	callerServer  *drain.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
 	listeners     []net.Listener
@@ -110,7 +114,6 @@
 		log:       log,
 		common:    common.NewCommon(log, conf.DefaultSettings()),
 		group:     group.NewGroup(context.Background()),
-		callers:   newCallerConns(),
 		startedAt: common.Uptime(),
 		direct:    platform.NewStore(settings.StoreAddress, storeConnectTimeout),
 		picker:    pick.NewPicker(),
@@ -203,13 +206,6 @@
 	}
 	f.peerServer = server
 	f.peerServer.Register(f.peers.Handlers(f.buckets, f.keeper, f.watcher, f.direct)...)
-	f.callerServer = &http.Server{
-		Handler:           f.callers.handler(f.proxy),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		ConnContext:       f.callers.connContext,
-		ConnState:         f.callers.setState,
-	}
 	f.readyServer = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerTimeout}
 	f.metricsServer = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	for _, address := range []string{f.settings.CallerAddress, f.settings.ReadyAddress, f.settings.MetricsAddress} {
@@ -219,6 +215,11 @@
 		}
 		f.listeners = append(f.listeners, l)
 	}
+	f.callerServer = drain.NewServer(f.listeners[callerListener], &http.Server{
+		Handler:           f.proxy,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleTimeout,
+	})
 	return nil
 }
 
@@ -234,24 +235,28 @@
 	f.streams.Start()
 	f.group.Go(f.register)
 	f.group.Go(f.removeLost)
-	for i, server := range []*http.Server{f.callerServer, f.readyServer, f.metricsServer} {
-		f.group.Go(func(context.Context) { f.serve(server, f.listeners[i]) })
-	}
+	f.group.Go(func(context.Context) { f.logServe(callerListener, f.callerServer.Serve()) })
+	f.group.Go(func(context.Context) { f.logServe(readyListener, f.readyServer.Serve(f.listeners[readyListener])) })
+	f.group.Go(func(context.Context) {
+		f.logServe(metricsListener, f.metricsServer.Serve(f.listeners[metricsListener]))
+	})
 	f.log.Info("instance started", "instance", f.settings.Instance, "domain", f.settings.FailureDomain,
 		"callers", f.settings.CallerAddress, "peers", f.settings.PeerAddress, "store", f.settings.StoreAddress)
 }
 
-func (f *Front) serve(server *http.Server, l net.Listener) {
-	err := server.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) || f.stopping.Load() && errors.Is(err, net.ErrClosed) {
-		return
+// logServe logs why the server of a listener has ended, unless it was stopped.
+func (f *Front) logServe(listener int, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		f.log.Error("HTTP server failed", "address", f.listeners[listener].Addr().String(), "error", err)
 	}
-	f.log.Error("HTTP server failed", "address", l.Addr().String(), "error", err)
 }
 
 // Close stops all parts without a drain and waits for them.
 func (f *Front) Close() {
-	for _, server := range []*http.Server{f.callerServer, f.readyServer, f.metricsServer} {
+	if f.callerServer != nil {
+		f.callerServer.Close()
+	}
+	for _, server := range []*http.Server{f.readyServer, f.metricsServer} {
 		if server != nil {
 			_ = server.Close()
 		}
--- a/front/stop.go
+++ b/front/stop.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
-	"github.com/buckthorntide/buckthorntide/proxy"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -15,17 +14,10 @@
 	// instance has become not ready: two health checks of the balancer a second
 	// apart, and a margin.
 	balancerDelay = 2500 * time.Millisecond
-	// firstRequestTime is how long after that connections without a request may
-	// send their first one.
-	firstRequestTime = 500 * time.Millisecond
-	// firstFraction bounds firstRequestTime to a part of a short time to accept.
-	firstFraction = 5
 	// stopMargin is the end of the grace period, reserved for the last writes.
 	stopMargin = 700 * time.Millisecond
 	// maxMarginFraction bounds stopMargin to a part of a short grace period.
 	maxMarginFraction = 8
-	// callersInterval is the time between two checks for requests in progress.
-	callersInterval = 20 * time.Millisecond
 	// minSettleTime is how long the budgets' last messages may take at least, even if
 	// callers were answered until the end.
 	minSettleTime = 200 * time.Millisecond
@@ -49,7 +41,7 @@
 func newStopPlan(grace time.Duration) stopPlan {
 	answer := grace - min(stopMargin, grace/maxMarginFraction)
 	accept := min(balancerDelay, answer/2)
-	return stopPlan{accept: accept, first: accept + min(firstRequestTime, accept/firstFraction), answer: answer}
+	return stopPlan{accept: accept, first: accept + drain.FirstRequestTime(accept), answer: answer}
 }
 
 // Drain stops the instance gracefully: the readiness check fails first, callers
@@ -62,7 +54,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(plan.answer))
 	defer cancel()
 	f.stopping.Store(true)
-	f.proxy.Drain(proxy.DrainPlan{AcceptUntil: start.Add(plan.first), AnswerBy: start.Add(plan.answer)})
+	f.proxy.Drain(drain.Plan{AcceptUntil: start.Add(plan.first), AnswerBy: start.Add(plan.answer)})
 	f.logDrain("drain started", "grace", grace)
 	f.group.Go(func(context.Context) {
 		f.leave(ctx)
@@ -100,36 +92,17 @@
 
 // logDrain logs a step of the drain with the callers' connections that are left.
 func (f *Front) logDrain(step string, fields ...any) {
-	n := f.callers.counts()
-	f.log.Info(step, append(fields, "fresh", n.fresh, "active", n.active, "idle", n.idle, "dropped", n.dropped)...)
+	n := f.callerServer.Counts()
+	f.log.Info(step, append(fields, "fresh", n.Fresh, "active", n.Active, "idle", n.Idle, "dropped", n.Dropped)...)
 }
 
-// finishCallers accepts no more connections and closes idle ones, so that requests
-// in progress are not joined by later ones that the grace period may cut. It waits
-// until all are answered, or until the context ends. Connections without a request
-// are closed at the time for first requests. The server is shut down last: it would
-// drop requests that have just been read on new connections.
+// finishCallers accepts no more connections and waits until the requests in progress
+// are answered, or until the context ends. First requests are accepted until the given
+// time.
 func (f *Front) finishCallers(ctx context.Context, first time.Time) error {
-	if err := f.listeners[callerListener].Close(); err != nil {
+	if err := f.callerServer.StopAccepting(); err != nil {
 		f.log.Warn("close of the callers' listener failed", "error", err)
 	}
 	f.logDrain("no new connections accepted")
-	f.callers.closeAll(ctx, http.StateIdle)
-	firstCtx, cancel := context.WithDeadline(ctx, first)
-	defer cancel()
-	f.waitCallers(firstCtx)
-	f.callers.closeAll(ctx, http.StateNew)
-	f.waitCallers(ctx)
-	return f.callerServer.Shutdown(ctx)
-}
-
-// waitCallers waits until no request is in progress and no connection without a
-// request is left, or until the context ends.
-func (f *Front) waitCallers(ctx context.Context) {
-	for {
-		n := f.callers.counts()
-		if n.active == 0 && n.fresh == 0 || !group.Sleep(ctx, callersInterval) {
-			return
-		}
-	}
+	return f.callerServer.Finish(ctx, first)
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
 	"github.com/buckthorntide/buckthorntide/turns"
@@ -98,7 +99,7 @@
 		view:   g.Views.View(),
 		config: g.config.Load(),
 		start:  time.Now(),
-		record: record{conn: callerConnOf(r.Context()), draining: g.drainingFor()},
+		record: record{conn: drain.InfoOf(r.Context()), draining: g.drain.For()},
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/resume"
 	"github.com/buckthorntide/buckthorntide/share"
@@ -112,8 +113,7 @@
 		meter    *meter
 		attempts *attempts
 		config   atomic.Pointer[Config]
-		// drain is nil unless the instance is being stopped.
-		drain atomic.Pointer[drain]
+		drain    drain.State
 	}
 )
 
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/buckthorntide/buckthorntide/drain"
 )
 
 // Sample sizes of the latency histograms.
@@ -16,7 +18,7 @@
 type (
 	// record collects the values of a request's log line.
 	record struct {
-		conn CallerConn
+		conn drain.Info
 		// draining is how long the instance had been draining when the request was
 		// accepted, or 0.
 		draining time.Duration
