Close connections without a request in a planned stop of serve

Callers of the own interface whose connection had no request yet when the server was shut down lost their first one: it was read and dropped (unexpected EOF). A connection on which nothing was sent made the shutdown last for five seconds.

Cause: http.Server.Shutdown takes a connection for busy until its first request, for five seconds, and drops that request; whether an idle connection is closed and whether its request is handled are decided apart.

Change: the server for callers is a drain.Server. It closes idle connections as it stops to accept, those without a request half a second later, and decides under one lock. That time is a part of a short drain.

--- a/drain/server.go
+++ b/drain/server.go
@@ -60,6 +60,9 @@
 	return min(firstRequestTime, stop/firstFraction)
 }
 
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
 // Counts counts the connections.
 func (s *Server) Counts() Counts { return s.conns.counts() }
 
@@ -84,6 +87,21 @@
 	return errors.Trace(s.server.Shutdown(ctx))
 }
 
+// Shutdown accepts no more connections, and requests on those that there are only as
+// Finish does. It waits until the requests in progress are answered, or until the
+// context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	first := firstRequestTime
+	if deadline, ok := ctx.Deadline(); ok {
+		first = FirstRequestTime(time.Until(deadline))
+	}
+	err := s.StopAccepting()
+	if finishErr := s.Finish(ctx, time.Now().Add(first)); finishErr != nil {
+		return finishErr
+	}
+	return err
+}
+
 // waitRequests waits until no request is in progress and no connection without a
 // request is left, or until the context ends.
 func (s *Server) waitRequests(ctx context.Context) {
--- a/entry/server.go
+++ b/entry/server.go
@@ -15,6 +15,7 @@
 	"github.com/buckthorntide/buckthorntide/calls"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 )
@@ -68,8 +69,7 @@
 		opener          *calls.Opener
 		modelExecutor   *calls.ModelExecutor
 		plainExecutor   *calls.PlainExecutor
-		listener        net.Listener
-		server          *http.Server
+		server          *drain.Server
 		runningRequests atomic.Int64
 		group           *group.Group
 	}
@@ -100,15 +100,14 @@
 		opener:        opener,
 		modelExecutor: modelExecutor,
 		plainExecutor: plainExecutor,
-		listener:      listener,
 		group:         group.NewGroup(context.Background()),
 	}
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout}
+	s.server = drain.NewServer(listener, &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout})
 	return s, nil
 }
 
 // Address returns the address (IP:port) that the server listens on.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.server.Address() }
 
 // RunningRequests returns the number of requests in flight.
 func (s *Server) RunningRequests() int { return int(s.runningRequests.Load()) }
@@ -116,8 +115,7 @@
 // Start serves requests in the background.
 func (s *Server) Start() {
 	s.group.Go(func(context.Context) {
-		err := s.server.Serve(s.listener)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(); err != nil {
 			s.common.Log.Error("server for callers stops unexpectedly", "error", err)
 		}
 	})
@@ -125,13 +123,11 @@
 
 // Shutdown accepts no new connections and waits until the requests in flight
 // are complete or the context is done.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Trace(s.server.Shutdown(ctx))
-}
+func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
 
 // Close closes every connection and waits until Serve has returned.
 func (s *Server) Close() {
-	_ = s.server.Close()
+	s.server.Close()
 	s.group.Close()
 }
 
