Refuse or answer the calls that a drain of serve would cut

A reservation that was taken during a drain's notice was sent to its service and cut when the drain ended. A call that had been taken before and ran longer than the drain was cut too: its caller got EOF and the store learnt nothing.

Cause: nothing looked at the drain's end. A call may take 120 s by default and an hour at most, a drain takes 30 s.

Change: a call whose deadline lies beyond the drain's end and that has less than ten seconds until then is refused (notReady) before it takes its turn and before each attempt while none has run; an intent is settled as not run then. What still runs a second before the drain's end is ended and answered with its run state, and its outcome is reported while the instance lives.

--- a/boot/lifecycle.go
+++ b/boot/lifecycle.go
@@ -6,12 +6,22 @@
 
 	"github.com/juju/errors"
 
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 )
 
-// drainPollInterval is the time between two checks whether a drain is complete.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the time between two checks whether a drain is complete.
+	drainPollInterval = 20 * time.Millisecond
+	// drainMargin is the end of a drain, reserved for the answers and reports of calls
+	// that it ends, and maxMarginFraction bounds it to a part of a short drain.
+	drainMargin       = time.Second
+	maxMarginFraction = 8
+	// minCallTime is the time that a call must have left to be taken in a drain if its
+	// deadline is later than the drain's end: most calls end within it.
+	minCallTime = 10 * time.Second
+)
 
 // Start starts every subsystem and seeds the initial admin key, if there is one.
 func (n *Node) Start() error {
@@ -35,8 +45,11 @@
 
 // Drain performs a planned stop: it reports the instance as not ready to the
 // load balancer, hands over its shards and lets calls in flight finish. It
-// returns when the drain is complete or the context ends.
+// returns when the drain is complete, its time is over or the context ends.
 func (n *Node) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.common.Settings.DrainTimeout))
+	defer cancel()
+	n.planDrain(ctx)
 	n.draining.Store(true)
 	n.common.Log.Info("drain started")
 	group.Sleep(ctx, time.Duration(n.common.Settings.DrainNotice))
@@ -53,6 +66,21 @@
 	return errors.Trace(err)
 }
 
+// planDrain bounds the calls in progress to the context's deadline: those that may
+// outlast it are refused, if they don't have the time that most calls need, and those
+// that do are ended while they can still be answered.
+func (n *Node) planDrain(ctx context.Context) {
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	answerBy := deadline.Add(-min(drainMargin, left/maxMarginFraction))
+	n.stop.Begin(drain.Plan{AcceptUntil: answerBy.Add(-minCallTime), AnswerBy: answerBy})
+	n.group.Go(func(ctx context.Context) {
+		if group.Sleep(ctx, time.Until(answerBy)) {
+			n.entry.EndCalls()
+		}
+	})
+}
+
 // drained reports whether this instance holds no state that exists nowhere else:
 // shards, relayed turns and calls that no home has recorded yet, and outcomes
 // that could not be written to the store.
--- a/boot/node.go
+++ b/boot/node.go
@@ -19,6 +19,7 @@
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
 	"github.com/buckthorntide/buckthorntide/ctrl"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/engine"
 	"github.com/buckthorntide/buckthorntide/entry"
 	"github.com/buckthorntide/buckthorntide/fleet"
@@ -95,6 +96,7 @@
 		adminKey       string
 		started        atomic.Bool
 		draining       atomic.Bool
+		stop           *drain.State
 		drainRequested chan struct{}
 		engineHTTP     *http.Client
 		engines        *engine.Client
@@ -111,6 +113,7 @@
 		adminKey:       o.AdminKey,
 		newPolicy:      o.Policy,
 		drainRequested: make(chan struct{}),
+		stop:           &drain.State{},
 		group:          group.NewGroup(context.Background()),
 	}
 	if n.newPolicy == nil {
@@ -210,8 +213,8 @@
 	n.programClient = progs.NewClient(n.common, n.router, n.progs, n.pendingTurns)
 	n.peerServer.Register(append(handlers, n.programClient.Handlers()...)...)
 	n.poolClient = pools.NewClient(n.common, n.router, n.pools, n.relayer)
-	modelCalls := calls.NewModelExecutor(n.common, n.self.Name, n.gossip, quotaClient, n.programClient, n.poolClient, n.engines)
-	plainCalls := calls.NewPlainExecutor(n.common, n.self.Name, quotaClient, n.programClient, n.poolClient, n.intents, n.plain)
+	modelCalls := calls.NewModelExecutor(n.common, n.self.Name, n.gossip, quotaClient, n.programClient, n.poolClient, n.engines, n.stop)
+	plainCalls := calls.NewPlainExecutor(n.common, n.self.Name, quotaClient, n.programClient, n.poolClient, n.intents, n.plain, n.stop)
 	var err error
 	n.entry, err = entry.NewServer(n.common, s.ListenAddress, n.gossip.Keys(keys.CallerKind), n.streams,
 		n.gossip, n, calls.NewOpener(n.programClient), modelCalls, plainCalls)
--- a/boot/serve.go
+++ b/boot/serve.go
@@ -5,7 +5,6 @@
 	"flag"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
@@ -41,7 +40,7 @@
 	if err != nil {
 		return a.fail(exitFailed, err)
 	}
-	if err := runNode(node, sig, time.Duration(settings.DrainTimeout)); err != nil {
+	if err := runNode(node, sig); err != nil {
 		return a.fail(exitFailed, err)
 	}
 	return exitOK
@@ -49,7 +48,7 @@
 
 // runNode runs the instance until a signal arrives or an operator requests a
 // drain, then drains and closes it.
-func runNode(node *Node, sig *signals, drainTimeout time.Duration) error {
+func runNode(node *Node, sig *signals) error {
 	if err := node.Start(); err != nil {
 		node.Close()
 		return err
@@ -66,9 +65,7 @@
 		}
 	}, func(error) { close(stop) })
 	err := group.Run()
-	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	drainErr := node.Drain(ctx)
+	drainErr := node.Drain(context.Background())
 	node.Close()
 	if err != nil && !errors.Is(err, errDrained) && !errors.Is(err, errStopSignal) {
 		return err
--- a/calls/attempt.go
+++ b/calls/attempt.go
@@ -28,6 +28,9 @@
 	r.body = body
 	state := NotRun
 	for {
+		if state == NotRun && r.drain.Refuses(r.call.Deadline) {
+			return refuseStopping()
+		}
 		decision, err := r.pools.Submit(ctx, r.service.Name, r.routeCall())
 		if err != nil {
 			return refuseUnavailable(state, "no upstream was found in time")
--- a/calls/model.go
+++ b/calls/model.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/engine"
 	"github.com/buckthorntide/buckthorntide/limit"
 	"github.com/buckthorntide/buckthorntide/prog"
@@ -41,6 +42,7 @@
 		programs Programs
 		pools    Pools
 		engines  *engine.Client
+		drain    *drain.State
 	}
 )
 
@@ -53,6 +55,7 @@
 	programs Programs,
 	pools Pools,
 	engines *engine.Client,
+	planned *drain.State,
 ) *ModelExecutor {
 	return &ModelExecutor{
 		common:   c.Part("calls"),
@@ -62,6 +65,7 @@
 		programs: programs,
 		pools:    pools,
 		engines:  engines,
+		drain:    planned,
 	}
 }
 
--- a/calls/outcome.go
+++ b/calls/outcome.go
@@ -49,6 +49,11 @@
 		r.Code = "keyWithdrawn"
 		r.Message = "the key was withdrawn while the call ran"
 	}
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		r.Status = http.StatusServiceUnavailable
+		r.Code = "unavailable"
+		r.Message = "the instance stopped while the call ran"
+	}
 	if outcome == route.OutcomeUnreachable || outcome == route.OutcomeRefused {
 		r.RunState = NotRun
 	}
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/prog"
 	"github.com/buckthorntide/buckthorntide/relay"
 	"github.com/buckthorntide/buckthorntide/route"
@@ -75,6 +76,7 @@
 		pools    Pools
 		intents  Intents
 		relay    *relay.PlainClient
+		drain    *drain.State
 	}
 
 	// plainRun is the state of a plain service call in progress.
@@ -98,6 +100,7 @@
 	pools Pools,
 	intents Intents,
 	forward *relay.PlainClient,
+	planned *drain.State,
 ) *PlainExecutor {
 	return &PlainExecutor{
 		common:   c.Part("calls"),
@@ -107,6 +110,7 @@
 		pools:    pools,
 		intents:  intents,
 		relay:    forward,
+		drain:    planned,
 	}
 }
 
@@ -138,6 +142,9 @@
 
 // runInProgram runs the call as the next turn of its program.
 func (r *plainRun) runInProgram(ctx context.Context) (PlainResult, *Refusal) {
+	if r.drain.Refuses(r.call.Deadline) {
+		return PlainResult{}, r.call.refusedBeforeClaim(refuseStopping())
+	}
 	reply, err := r.programs.Begin(ctx, r.turn.beginRequest())
 	if err != nil {
 		return PlainResult{}, r.call.refusedBeforeClaim(refuseUnavailable(NotRun, "the program's home did not answer"))
@@ -286,6 +293,9 @@
 func (r *plainRun) attempts(ctx context.Context) (relay.PlainResponse, *Refusal) {
 	state := NotRun
 	for {
+		if state == NotRun && r.drain.Refuses(r.call.Deadline) {
+			return relay.PlainResponse{}, refuseStopping()
+		}
 		decision, err := r.pools.Submit(ctx, r.call.Service.Name, r.routeCall())
 		if err != nil {
 			return relay.PlainResponse{}, refuseUnavailable(state, "no upstream was found in time")
--- a/calls/plain_test.go
+++ b/calls/plain_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/limit"
 	"github.com/buckthorntide/buckthorntide/prog"
 	"github.com/buckthorntide/buckthorntide/relay"
@@ -92,7 +93,7 @@
 				common.NewCommon(hclog.NewNullLogger(), conf.Settings{}),
 				"i1", unlimited{}, programs,
 				fakePools{address: strings.TrimPrefix(service.URL, "http://")},
-				nil, relay.NewPlainClient(),
+				nil, relay.NewPlainClient(), &drain.State{},
 			)
 			result, refusal := plain.Call(t.Context(), PlainCall{
 				Caller:   Caller{Team: conf.Team{Name: "fes"}},
--- a/calls/refusal.go
+++ b/calls/refusal.go
@@ -19,6 +19,9 @@
 	// ErrKeyWithdrawn is the cancellation cause of the calls of a withdrawn
 	// key.
 	ErrKeyWithdrawn = errors.ConstError("key withdrawn")
+	// ErrStopping is the cancellation cause of the calls that still run when a
+	// planned stop ends.
+	ErrStopping = errors.ConstError("instance stops")
 
 	errCallerDisconnected = errors.ConstError("caller disconnected")
 
@@ -80,6 +83,13 @@
 	}
 }
 
+// refuseStopping refuses a call that may not end before the instance does.
+func refuseStopping() *Refusal {
+	r := NewRefusal(http.StatusServiceUnavailable, "notReady", "the instance stops before the call may end; send it to another one")
+	r.RetryAfter = unavailableRetryAfter
+	return r
+}
+
 func refuseProgram(r *prog.Refusal) *Refusal {
 	refusal := &Refusal{
 		Status:   programStatus(r.Reason),
--- a/calls/run.go
+++ b/calls/run.go
@@ -38,6 +38,9 @@
 
 // runInProgram runs the call as the next turn of its program.
 func (r *modelRun) runInProgram(ctx context.Context) *Refusal {
+	if r.drain.Refuses(r.call.Deadline) {
+		return refuseStopping()
+	}
 	reply, err := r.programs.Begin(ctx, r.beginRequest())
 	if err != nil {
 		return refuseUnavailable(NotRun, "the program's home did not answer")
--- a/entry/server.go
+++ b/entry/server.go
@@ -71,7 +71,10 @@
 		plainExecutor   *calls.PlainExecutor
 		server          *drain.Server
 		runningRequests atomic.Int64
-		group           *group.Group
+		// requests is the parent of the requests' contexts.
+		requests    context.Context
+		endRequests context.CancelCauseFunc
+		group       *group.Group
 	}
 )
 
@@ -102,6 +105,7 @@
 		plainExecutor: plainExecutor,
 		group:         group.NewGroup(context.Background()),
 	}
+	s.requests, s.endRequests = context.WithCancelCause(context.Background())
 	s.server = drain.NewServer(listener, &http.Server{Handler: s.routes(), ReadHeaderTimeout: readHeaderTimeout})
 	return s, nil
 }
@@ -121,6 +125,14 @@
 	})
 }
 
+// EndCalls cancels the calls that run; their callers are told what is known of them.
+func (s *Server) EndCalls() {
+	if running := s.RunningRequests(); running > 0 {
+		s.common.Log.Warn("drain ends before the requests in flight", "requests", running)
+	}
+	s.endRequests(calls.ErrStopping)
+}
+
 // Shutdown accepts no new connections and waits until the requests in flight
 // are complete or the context is done.
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
@@ -156,7 +168,10 @@
 			w.Header().Set("Connection", "close")
 		}
 		q.Body = http.MaxBytesReader(w, q.Body, maxBodyBytes)
-		next.ServeHTTP(w, q)
+		ctx, cancel := context.WithCancelCause(q.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(s.requests, func() { cancel(context.Cause(s.requests)) })()
+		next.ServeHTTP(w, q.WithContext(ctx))
 	})
 }
 
