Answer operators' requests before an instance of serve ends

An operator who issued a key, or changed the text, while an instance stopped could get EOF for a request that had taken effect; the key was never shown.

Cause: the operators' server takes requests until the instance ends and was closed without a shutdown.

Change: the operators' server is a drain.Server. A drain shuts it down last, so that status and dump can be asked until then, and Close does so too. Both wait for three seconds at most, since an operator may have stopped to send or read.

--- a/admin/server.go
+++ b/admin/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/buckthorntide/buckthorntide/admapi"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/keys"
 )
@@ -22,7 +23,9 @@
 	headerTimeout = 10 * time.Second
 	// requestTimeout bounds one request of an operator.
 	requestTimeout = 30 * time.Second
-	bearerPrefix   = "Bearer "
+	// stopTimeout bounds the wait for requests in progress when the server stops.
+	stopTimeout  = 3 * time.Second
+	bearerPrefix = "Bearer "
 )
 
 type (
@@ -37,8 +40,7 @@
 		common   *common.Common
 		keys     Keys
 		operator *Operator
-		listener net.Listener
-		server   *http.Server
+		server   *drain.Server
 		group    *group.Group
 	}
 
@@ -56,29 +58,38 @@
 		common:   c.Part("admin"),
 		keys:     checker,
 		operator: operator,
-		listener: listener,
 		group:    group.NewGroup(context.Background()),
 	}
-	s.server = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout}
+	s.server = drain.NewServer(listener, &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout})
 	return s, nil
 }
 
 // Address returns the address that operators reach the server at.
-func (s *Server) Address() string { return s.listener.Addr().String() }
+func (s *Server) Address() string { return s.server.Address() }
 
 // Start begins to answer.
 func (s *Server) Start() {
 	s.group.Go(func(context.Context) {
-		err := s.server.Serve(s.listener)
-		if !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(); err != nil {
 			s.common.Log.Error("Serving operators ended.", "error", err)
 		}
 	})
 }
 
-// Close cuts every connection and waits.
+// Shutdown accepts no new connections and waits until the requests in progress are
+// answered, for a limited time or until the context ends: they may have taken effect.
+func (s *Server) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	return s.server.Shutdown(ctx)
+}
+
+// Close shuts the server down, closes every connection that is left, and waits.
 func (s *Server) Close() {
-	_ = s.server.Close()
+	if err := s.Shutdown(context.Background()); err != nil {
+		s.common.Log.Warn("requests in progress are cut", "error", err)
+	}
+	s.server.Close()
 	s.group.Close()
 }
 
--- a/boot/lifecycle.go
+++ b/boot/lifecycle.go
@@ -44,7 +44,8 @@
 }
 
 // Drain performs a planned stop: it reports the instance as not ready to the
-// load balancer, hands over its shards and lets calls in flight finish. It
+// load balancer, hands over its shards and lets calls in flight finish, and at last
+// the operators' requests. It
 // returns when the drain is complete, its time is over or the context ends.
 func (n *Node) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.common.Settings.DrainTimeout))
@@ -62,6 +63,9 @@
 			err = ctx.Err()
 		}
 	}
+	if operatorsErr := n.admin.Shutdown(ctx); operatorsErr != nil {
+		n.common.Log.Warn("operators' requests outlast the drain", "error", operatorsErr)
+	}
 	n.common.Log.Info("drain finished", "error", err)
 	return errors.Trace(err)
 }
--- a/drain/server.go
+++ b/drain/server.go
@@ -66,9 +66,11 @@
 // Counts counts the connections.
 func (s *Server) Counts() Counts { return s.conns.counts() }
 
-// StopAccepting accepts no more connections.
+// StopAccepting accepts no more connections. Later calls change nothing.
 func (s *Server) StopAccepting() error {
-	s.accepting.Store(false)
+	if !s.accepting.CompareAndSwap(true, false) {
+		return nil
+	}
 	return errors.Trace(s.listener.Close())
 }
 
