Await the accept in the test of first requests during a shutdown

TestFirstRequestDuringShutdownIsAnswered failed in 3 of 100 runs ("broken pipe" or a reset): it began the shutdown while its connection still waited to be accepted, and the kernel resets such connections when the listener closes. No request was read there, which is what the test guards against; it took only the end of the stream for that case.

--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
@@ -45,6 +46,18 @@
 	return took
 }
 
+// awaitFresh waits until the server has accepted a connection: the kernel resets those
+// that are not accepted yet when the listener closes.
+func awaitFresh(t *testing.T, s *Server) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if s.server.Counts().Fresh == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("no connection is accepted yet")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
 // Guards against a first request of a new connection that is read after the server
 // began to shut down and is dropped without an answer.
 func TestFirstRequestDuringShutdownIsAnswered(t *testing.T) {
@@ -55,6 +68,7 @@
 	conn, err := net.Dial("tcp", s.Address())
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
+	awaitFresh(t, s)
 	h.draining.Store(true)
 	took := shutdown(t, s, 10*time.Second)
 	time.Sleep(200 * time.Millisecond)
