End requests of stuck callers with a drain of serve

A caller that sent half a body, or read nothing of a long answer, kept every planned stop of the own interface until the end of drainTimeout; the instance then exited with status 1 and had no time left to hand over what remained.

Cause: reads of bodies and writes of answers have no bound there.

Change: when a drain ends the calls that still run, it also ends the reads of requests and bounds the writes of answers, on all connections: net/http reads the rest of a body also after a handler has answered without it. A request whose body was not read is refused as not run, or as unknown where an earlier transmission with its key may have run. Outside of a drain such callers may still keep a request in progress.

--- a/boot/lifecycle.go
+++ b/boot/lifecycle.go
@@ -45,8 +45,8 @@
 
 // Drain performs a planned stop: it reports the instance as not ready to the
 // load balancer, hands over its shards and lets calls in flight finish, and at last
-// the operators' requests. It
-// returns when the drain is complete, its time is over or the context ends.
+// operators' requests. It returns when the drain is complete, its time is over or the
+// context ends.
 func (n *Node) Drain(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(n.common.Settings.DrainTimeout))
 	defer cancel()
@@ -75,12 +75,12 @@
 // that do are ended while they can still be answered.
 func (n *Node) planDrain(ctx context.Context) {
 	deadline, _ := ctx.Deadline()
-	left := time.Until(deadline)
-	answerBy := deadline.Add(-min(drainMargin, left/maxMarginFraction))
+	margin := min(drainMargin, time.Until(deadline)/maxMarginFraction)
+	answerBy := deadline.Add(-margin)
 	n.stop.Begin(drain.Plan{AcceptUntil: answerBy.Add(-minCallTime), AnswerBy: answerBy})
 	n.group.Go(func(ctx context.Context) {
 		if group.Sleep(ctx, time.Until(answerBy)) {
-			n.entry.EndCalls()
+			n.entry.EndCalls(answerBy.Add(margin / 2))
 		}
 	})
 }
--- a/calls/attempt.go
+++ b/calls/attempt.go
@@ -29,7 +29,7 @@
 	state := NotRun
 	for {
 		if state == NotRun && r.drain.Refuses(r.call.Deadline) {
-			return refuseStopping()
+			return RefuseStopping()
 		}
 		decision, err := r.pools.Submit(ctx, r.service.Name, r.routeCall())
 		if err != nil {
--- a/calls/plain.go
+++ b/calls/plain.go
@@ -118,7 +118,7 @@
 func (p *PlainExecutor) Call(ctx context.Context, call PlainCall) (PlainResult, *Refusal) {
 	if call.Caller.Team.Name != "" {
 		if refusal := takeToken(ctx, p.limits, call.Caller); refusal != nil {
-			return PlainResult{}, call.refusedBeforeClaim(refusal)
+			return PlainResult{}, call.RefusedBeforeClaim(refusal)
 		}
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
@@ -143,20 +143,20 @@
 // runInProgram runs the call as the next turn of its program.
 func (r *plainRun) runInProgram(ctx context.Context) (PlainResult, *Refusal) {
 	if r.drain.Refuses(r.call.Deadline) {
-		return PlainResult{}, r.call.refusedBeforeClaim(refuseStopping())
+		return PlainResult{}, r.call.RefusedBeforeClaim(RefuseStopping())
 	}
 	reply, err := r.programs.Begin(ctx, r.turn.beginRequest())
 	if err != nil {
-		return PlainResult{}, r.call.refusedBeforeClaim(refuseUnavailable(NotRun, "the program's home did not answer"))
+		return PlainResult{}, r.call.RefusedBeforeClaim(refuseUnavailable(NotRun, "the program's home did not answer"))
 	}
 	switch {
 	case reply.Refusal != nil:
-		return PlainResult{}, r.call.refusedBeforeClaim(refuseProgram(reply.Refusal))
+		return PlainResult{}, r.call.RefusedBeforeClaim(refuseProgram(reply.Refusal))
 	case reply.Replay != nil:
 		return replayTurn(reply.Replay)
 	case reply.Start == nil:
 		timedOut := &prog.Refusal{Reason: prog.ReasonDeadline, RunState: prog.NotRun}
-		return PlainResult{}, r.call.refusedBeforeClaim(refuseProgram(timedOut))
+		return PlainResult{}, r.call.RefusedBeforeClaim(refuseProgram(timedOut))
 	}
 	r.turn.start = *reply.Start
 	ctx, cancel := context.WithTimeout(ctx, r.turn.start.TimeLeft)
@@ -203,10 +203,10 @@
 	return 0
 }
 
-// refusedBeforeClaim adjusts the run state of a refusal that precedes the claim:
+// RefusedBeforeClaim adjusts the run state of a refusal that precedes the claim:
 // if the call must not be repeated, an earlier transmission with the caller's
 // key may have run, so its state is unknown.
-func (c *PlainCall) refusedBeforeClaim(refusal *Refusal) *Refusal {
+func (c *PlainCall) RefusedBeforeClaim(refusal *Refusal) *Refusal {
 	if refusal.RunState == NotRun && !c.Generated && !c.Route.Repeatable {
 		refusal.RunState = Unknown
 	}
@@ -294,7 +294,7 @@
 	state := NotRun
 	for {
 		if state == NotRun && r.drain.Refuses(r.call.Deadline) {
-			return relay.PlainResponse{}, refuseStopping()
+			return relay.PlainResponse{}, RefuseStopping()
 		}
 		decision, err := r.pools.Submit(ctx, r.call.Service.Name, r.routeCall())
 		if err != nil {
--- a/calls/refusal.go
+++ b/calls/refusal.go
@@ -83,8 +83,8 @@
 	}
 }
 
-// refuseStopping refuses a call that may not end before the instance does.
-func refuseStopping() *Refusal {
+// RefuseStopping refuses a call that may not end before the instance does.
+func RefuseStopping() *Refusal {
 	r := NewRefusal(http.StatusServiceUnavailable, "notReady", "the instance stops before the call may end; send it to another one")
 	r.RetryAfter = unavailableRetryAfter
 	return r
--- a/calls/run.go
+++ b/calls/run.go
@@ -39,7 +39,7 @@
 // runInProgram runs the call as the next turn of its program.
 func (r *modelRun) runInProgram(ctx context.Context) *Refusal {
 	if r.drain.Refuses(r.call.Deadline) {
-		return refuseStopping()
+		return RefuseStopping()
 	}
 	reply, err := r.programs.Begin(ctx, r.beginRequest())
 	if err != nil {
--- a/drain/conns.go
+++ b/drain/conns.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 )
@@ -170,6 +172,25 @@
 	return closed
 }
 
+// endTransfers sets the deadlines of all connections. It returns one of the errors.
+func (c *conns) endTransfers(writeBy time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var failed error
+	for netConn, one := range c.open {
+		if one.closed {
+			continue
+		}
+		if err := netConn.SetReadDeadline(time.Now()); err != nil {
+			failed = err
+		}
+		if err := netConn.SetWriteDeadline(writeBy); err != nil {
+			failed = err
+		}
+	}
+	return errors.Trace(failed)
+}
+
 func (c *conns) counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/drain/server.go
+++ b/drain/server.go
@@ -115,6 +115,10 @@
 	}
 }
 
+// EndTransfers ends the reads of requests and bounds the writes of answers: a caller may
+// send or read nothing more.
+func (s *Server) EndTransfers(writeBy time.Time) error { return s.conns.endTransfers(writeBy) }
+
 // Close closes the listener and every connection.
 func (s *Server) Close() {
 	s.accepting.Store(false)
--- a/entry/complete.go
+++ b/entry/complete.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -51,9 +50,9 @@
 }
 
 func (s *Server) parseModelCall(q *http.Request, caller calls.Caller) (calls.ModelCall, *calls.Refusal) {
-	body, err := io.ReadAll(q.Body)
-	if err != nil {
-		return calls.ModelCall{}, newBadRequestRefusal()
+	body, refusal := s.readBody(q)
+	if refusal != nil {
+		return calls.ModelCall{}, refusal
 	}
 	if relay.BodyContainsKey(body, caller.Key) {
 		return calls.ModelCall{}, calls.NewRefusal(http.StatusBadRequest, "keyInRequest", "the key may stand in the Authorization header only")
--- a/entry/programs.go
+++ b/entry/programs.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/buckthorntide/buckthorntide/calls"
@@ -25,12 +24,12 @@
 
 func (s *Server) openProgram(w http.ResponseWriter, q *http.Request, caller calls.Caller) {
 	var body openRequest
-	raw, err := io.ReadAll(q.Body)
-	if err == nil && len(raw) > 0 {
-		err = json.Unmarshal(raw, &body)
+	raw, refusal := s.readBody(q)
+	if refusal == nil && len(raw) > 0 && json.Unmarshal(raw, &body) != nil {
+		refusal = newBadRequestRefusal()
 	}
-	if err != nil {
-		writeRefusal(w, newBadRequestRefusal())
+	if refusal != nil {
+		writeRefusal(w, refusal)
 		return
 	}
 	reply, refusal := s.opener.Open(q.Context(), caller, body.Parent, q.Header.Get(idempotencyHeader))
--- a/entry/server.go
+++ b/entry/server.go
@@ -125,12 +125,16 @@
 	})
 }
 
-// EndCalls cancels the calls that run; their callers are told what is known of them.
-func (s *Server) EndCalls() {
+// EndCalls ends the calls that run and the read of bodies. The callers are told what is
+// known of their calls, until the given time.
+func (s *Server) EndCalls(writeBy time.Time) {
 	if running := s.RunningRequests(); running > 0 {
 		s.common.Log.Warn("drain ends before the requests in flight", "requests", running)
 	}
 	s.endRequests(calls.ErrStopping)
+	if err := s.server.EndTransfers(writeBy); err != nil {
+		s.common.Log.Warn("failed to bound the requests in flight", "error", err)
+	}
 }
 
 // Shutdown accepts no new connections and waits until the requests in flight
--- a/entry/service.go
+++ b/entry/service.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -49,9 +48,10 @@
 		writeRefusal(w, newRouteRefusal())
 		return
 	}
-	body, err := io.ReadAll(q.Body)
-	if err != nil {
-		writeRefusal(w, newBadRequestRefusal())
+	call.Generated = q.Header.Get(idempotencyHeader) == ""
+	body, refusal := s.readBody(q)
+	if refusal != nil {
+		writeRefusal(w, call.RefusedBeforeClaim(refusal))
 		return
 	}
 	if relay.BodyContainsKey(body, caller.Key) {
@@ -61,7 +61,6 @@
 	call.Caller = caller
 	call.Program = q.Header.Get(programHeader)
 	call.CallID = callID(q.Header)
-	call.Generated = q.Header.Get(idempotencyHeader) == ""
 	call.Attempt = uuid.NewString()
 	call.Method = q.Method
 	call.Query = q.URL.RawQuery
