--- a/admin/server.go
+++ b/admin/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -41,6 +42,7 @@
 		keys     Keys
 		operator *Operator
 		server   *drain.Server
+		stopping atomic.Bool
 		group    *group.Group
 	}
 
@@ -79,6 +81,7 @@
 // Shutdown accepts no new connections and waits until the requests in progress are
 // answered, for a limited time or until the context ends: they may have taken effect.
 func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
 	defer cancel()
 	return s.server.Shutdown(ctx)
@@ -152,6 +155,9 @@
 		status = problem.Code.Status()
 		result = admapi.ErrorResponse{Error: problem}
 	}
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// An operator that has left can't be told of a failed write.
--- a/admin/stop_test.go
+++ b/admin/stop_test.go
@@ -47,3 +47,25 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 }
+
+// Guards against an answer that keeps its connection while the server stops: the
+// operator's next request would be lost with it.
+func TestAnswerDuringShutdownClosesItsConnection(t *testing.T) {
+	s, err := NewServer(common.NewCommon(hclog.NewNullLogger(), conf.DefaultSettings()), "127.0.0.1:0", fakeKeys{fresh: true}, nil)
+	assert.NilError(t, err)
+	g := group.NewGroup(t.Context())
+	t.Cleanup(g.Wait)
+	s.server.Handler = s.guard(func(ctx context.Context, _ *http.Request) (any, error) {
+		g.Go(func(context.Context) { s.Close() })
+		group.Sleep(ctx, 200*time.Millisecond)
+		return struct{}{}, nil
+	})
+	s.Start()
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Address()+"/", nil)
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer good")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Assert(t, resp.Close, "the answer keeps its connection")
+}
--- a/entry/server.go
+++ b/entry/server.go
@@ -167,15 +167,11 @@
 		defer s.runningRequests.Add(-1)
 		start := s.common.Clock.Now()
 		defer func() { requests.Update(s.common.Clock.Now().Sub(start)) }()
-		if s.health.Draining() {
-			// The caller reconnects, and the balancer picks another instance.
-			w.Header().Set("Connection", "close")
-		}
 		q.Body = http.MaxBytesReader(w, q.Body, maxBodyBytes)
 		ctx, cancel := context.WithCancelCause(q.Context())
 		defer cancel(nil)
 		defer context.AfterFunc(s.requests, func() { cancel(context.Cause(s.requests)) })()
-		next.ServeHTTP(w, q.WithContext(ctx))
+		next.ServeHTTP(&drainWriter{ResponseWriter: w, health: s.health}, q.WithContext(ctx))
 	})
 }
 
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -100,3 +100,21 @@
 	lasted := <-shutdown(t, s, 20*time.Second)
 	assert.Assert(t, lasted < 2*time.Second, "the shutdown took %v", lasted)
 }
+
+// Guards against an answer that began before a drain and keeps its connection: its
+// caller sends the next request to an instance that stops.
+func TestAnswerInDrainClosesItsConnection(t *testing.T) {
+	h := &stopHealth{}
+	s, err := NewServer(common.NewCommon(hclog.NewNullLogger(), conf.DefaultSettings()), "127.0.0.1:0", nil, nil, nil, h, nil, nil, nil)
+	assert.NilError(t, err)
+	s.server.Handler = s.instrument(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h.draining.Store(true)
+		writeJSON(w, http.StatusOK, nil)
+	}))
+	s.Start()
+	defer s.Close()
+	resp, err := http.Get("http://" + s.Address())
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Assert(t, resp.Close, "the answer keeps its connection")
+}
