Let a planned stop close its listener before the server's shutdown

A planned stop closes the listener itself and shuts the server down later. If nothing was in progress, the shutdown could come while Serve still returned, closed the listener once more and failed ("use of closed network connection"). On the platform's path the error was logged; serve left out the handover of its shards then and exited with status 1 (by reading).

Change: the server's listener may be closed again.

--- a/drain/server.go
+++ b/drain/server.go
@@ -37,7 +37,7 @@
 // NewServer returns a server for the listener's connections with the settings of the
 // given one, whose hooks for connections it sets.
 func NewServer(listener net.Listener, server *http.Server) *Server {
-	s := &Server{Handler: server.Handler, conns: newConns(), server: server, listener: listener}
+	s := &Server{Handler: server.Handler, conns: newConns(), server: server, listener: &onceListener{Listener: listener}}
 	s.accepting.Store(true)
 	server.ConnContext = s.conns.connContext
 	server.ConnState = s.conns.setState
@@ -68,9 +68,7 @@
 
 // StopAccepting accepts no more connections. Later calls change nothing.
 func (s *Server) StopAccepting() error {
-	if !s.accepting.CompareAndSwap(true, false) {
-		return nil
-	}
+	s.accepting.Store(false)
 	return errors.Trace(s.listener.Close())
 }
 
