Wait for the handover also if the shutdown of serve fails

Node.Drain left out the wait for shards, turns and outcomes that exist nowhere else once the shutdown of the callers' server had failed.

By reading: http.Server.Shutdown fails only as the drain's time ends, so that no time was left to wait in, and the handover goes on beside it. Nothing was lost by the omission itself. Since the server is a drain.Server, its shutdown can also fail with time left, if the listener can't be closed. No test shows this one. Change: the wait depends on the drain's time alone; the error is still returned.

--- a/boot/lifecycle.go
+++ b/boot/lifecycle.go
@@ -58,9 +58,10 @@
 		n.common.Log.Warn("failed to announce the drain to the platform", "error", err)
 	}
 	err := n.entry.Shutdown(ctx)
-	for err == nil && !n.drained(ctx) {
+	for !n.drained(ctx) {
 		if !group.Sleep(ctx, drainPollInterval) {
 			err = ctx.Err()
+			break
 		}
 	}
 	if operatorsErr := n.admin.Shutdown(ctx); operatorsErr != nil {
