Refuse no turn as spent while ends of reservations are in transit

A 402 ends a program.

Cause: the broker waited for the cancellation of the turn in progress. The end of an earlier turn's reservation was on its way to the same home and could arrive after that cancellation; until then the home held its tokens.

Change: the broker keeps the ends that have not reached their homes by program.

--- a/budget/broker.go
+++ b/budget/broker.go
@@ -24,9 +24,9 @@
 	// that end a reservation; together they outlast the ejection of a home.
 	minSettleInterval = 250 * time.Millisecond
 	maxSettleInterval = 4 * time.Second
-	// cancelWait is how long a turn waits until its reservation at a home that did not
-	// answer is cancelled, before it is refused.
-	cancelWait = 300 * time.Millisecond
+	// settleWait is how long a turn waits until its program's reservations have ended
+	// at their homes, before it is refused.
+	settleWait = 300 * time.Millisecond
 	// drainInterval is the time between two checks of a drain for open work.
 	drainInterval = 10 * time.Millisecond
 )
@@ -54,9 +54,9 @@
 		ledger *Ledger
 		homes  Homes
 		ids    atomic.Int64
-		// settling counts the reservations whose end has not reached their home.
-		settling atomic.Int64
-		group    *group.Group
+		// settlements are the ends of reservations on their way to homes.
+		settlements *settlements
+		group       *group.Group
 	}
 
 	// Reservation is the budget of one turn in progress. It must be settled.
@@ -72,15 +72,15 @@
 
 // NewBroker returns a broker that falls back to the ledger; Close must be called.
 func NewBroker(log hclog.Logger, ledger *Ledger, homes Homes) *Broker {
-	return &Broker{log: log, ledger: ledger, homes: homes, group: group.NewGroup(context.Background())}
+	return &Broker{log: log, ledger: ledger, homes: homes, settlements: newSettlements(), group: group.NewGroup(context.Background())}
 }
 
 // Drain waits until all reservations that have been settled are settled at their
 // homes too. It returns the number of those that are not when the context ends.
 func (b *Broker) Drain(ctx context.Context) int {
-	for b.settling.Load() > 0 && group.Sleep(ctx, drainInterval) {
+	for b.settlements.len() > 0 && group.Sleep(ctx, drainInterval) {
 	}
-	return int(b.settling.Load())
+	return b.settlements.len()
 }
 
 // Close cancels messages in flight and waits for them.
@@ -88,49 +88,45 @@
 
 // Reserve reserves the maximum tokens of a turn. ErrSpent and ErrUnavailable mean
 // that nothing was reserved.
-func (b *Broker) Reserve(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
-	var cancelled <-chan struct{}
+func (b *Broker) Reserve(ctx context.Context, program string, total, maxTokens int) (r *Reservation, err error) {
 	if !b.homes.IsHome(program) {
-		r, atHome, err := b.reserveAtHome(ctx, program, total, maxTokens)
+		err = b.afterSettlements(ctx, program, func() (err error) {
+			r, err = b.reserveAtHome(ctx, program, total, maxTokens)
+			return err
+		})
 		if r != nil || err != nil {
 			return r, err
 		}
-		cancelled = atHome
-	}
-	err := b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime())
-	if errors.Is(err, ErrSpent) && cancelled != nil {
-		// The home may hold the tokens for this turn.
-		if !waitFor(ctx, cancelled, cancelWait) {
-			return nil, errors.Annotate(ErrUnavailable, "the program's home does not answer")
-		}
-		err = b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime())
 	}
+	err = b.afterSettlements(ctx, program, func() error {
+		return b.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime())
+	})
 	if err != nil {
 		return nil, err
 	}
 	return &Reservation{broker: b, program: program, maxTokens: maxTokens}, nil
 }
 
-// waitFor reports whether the channel is closed in time.
-func waitFor(ctx context.Context, done <-chan struct{}, timeout time.Duration) bool {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	select {
-	case <-done:
-		return true
-	case <-timer.C:
-		return false
-	case <-ctx.Done():
-		return false
+// afterSettlements repeats a reservation that finds the budget spent, once all earlier
+// reservations of the program have ended at their homes, which may hold the tokens
+// until then.
+func (b *Broker) afterSettlements(ctx context.Context, program string, reserve func() error) error {
+	open := b.settlements.of(program)
+	err := reserve()
+	open = append(open, b.settlements.of(program)...)
+	switch {
+	case !errors.Is(err, ErrSpent) || len(open) == 0:
+		return err
+	case !awaitSettled(ctx, open, settleWait):
+		return errors.Annotate(ErrUnavailable, "the program's home does not answer")
+	default:
+		return reserve()
 	}
 }
 
 // reserveAtHome returns neither a reservation nor an error if the home can't be
-// reached. If it may have made the reservation nevertheless, the channel is closed
-// when that is cancelled. While the home waits for the store, it is asked again.
-func (b *Broker) reserveAtHome(
-	ctx context.Context, program string, total, maxTokens int,
-) (r *Reservation, cancelled <-chan struct{}, err error) {
+// reached. While the home waits for the store, it is asked again.
+func (b *Broker) reserveAtHome(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
 	q := &ReserveRequest{
 		ID:        b.ledger.Holder() + "/" + strconv.FormatInt(b.ids.Add(1), 10),
 		Program:   program,
@@ -142,51 +138,52 @@
 	for {
 		reply, home, err := b.homes.ReserveAtHome(ctx, q, q.Wait+homeMargin)
 		if err != nil {
-			if home == "" {
-				return nil, nil, nil
+			if home != "" {
+				// It may have made the reservation.
+				b.settle(home, program, &SettleRequest{ID: q.ID})
 			}
-			return nil, b.settle(home, &SettleRequest{ID: q.ID}), nil
+			return nil, nil
 		}
 		switch reply.Outcome {
 		case Reserved:
-			return &Reservation{broker: b, program: program, maxTokens: maxTokens, home: home, id: q.ID}, nil, nil
+			return &Reservation{broker: b, program: program, maxTokens: maxTokens, home: home, id: q.ID}, nil
 		case Spent:
-			return nil, nil, ErrSpent
+			return nil, ErrSpent
 		case Waiting:
 			if ctx.Err() == nil && common.Uptime() < until {
 				q.Wait = homeWait
 				continue
 			}
 		}
-		return nil, nil, errors.Annotate(ErrUnavailable, "at the program's home")
+		return nil, errors.Annotate(ErrUnavailable, "at the program's home")
 	}
 }
 
 // settle ends a reservation at another instance, and tries again while that can't be
-// reached: a reservation that isn't ended counts as spent. The channel is closed when
-// the other instance has ended it.
-func (b *Broker) settle(home string, q *SettleRequest) <-chan struct{} {
-	settled := make(chan struct{})
-	b.settling.Add(1)
+// reached: a reservation that isn't ended counts as spent.
+func (b *Broker) settle(home, program string, q *SettleRequest) {
+	n := b.settlements.begin(program)
 	started := b.group.Go(func(ctx context.Context) {
-		defer b.settling.Add(-1)
-		var err error
-		for interval := minSettleInterval; interval <= maxSettleInterval; interval *= 2 {
-			if err = b.homes.SettleAt(ctx, home, q); err == nil {
-				close(settled)
-				return
-			}
-			if !group.Sleep(ctx, interval) {
-				break
-			}
+		err := b.settleAt(ctx, home, q)
+		b.settlements.end(program, n, err == nil)
+		if err != nil {
+			b.logUnsettled(home, err)
 		}
-		b.logUnsettled(home, err)
 	})
 	if !started {
-		b.settling.Add(-1)
+		b.settlements.end(program, n, false)
 		b.logUnsettled(home, context.Canceled)
 	}
-	return settled
+}
+
+func (b *Broker) settleAt(ctx context.Context, home string, q *SettleRequest) error {
+	var err error
+	for interval := minSettleInterval; interval <= maxSettleInterval; interval *= 2 {
+		if err = b.homes.SettleAt(ctx, home, q); err == nil || !group.Sleep(ctx, interval) {
+			return err
+		}
+	}
+	return err
 }
 
 func (b *Broker) logUnsettled(home string, err error) {
@@ -199,7 +196,7 @@
 		r.broker.ledger.Settle(r.program, r.maxTokens, tokens)
 		return
 	}
-	r.broker.settle(r.home, &SettleRequest{ID: r.id, Tokens: tokens})
+	r.broker.settle(r.home, r.program, &SettleRequest{ID: r.id, Tokens: tokens})
 }
 
 // ReserveFor makes a reservation for another instance, which settles it. It waits
--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -24,6 +24,8 @@
 	fault atomic.Int64
 	// delayed are requests that arrive after the asker gave them up.
 	delayed []*budget.ReserveRequest
+	// settled counts the messages that end reservations.
+	settled atomic.Int64
 }
 
 type homeFault int
@@ -40,6 +42,8 @@
 	// homeSlow: the home makes the reservation, its reply comes too late, and further
 	// messages take as long.
 	homeSlow
+	// homeReorders: as homeSlow, but an earlier message takes longer than a later one.
+	homeReorders
 	// homeFrozen: the home gets the message after it was given up.
 	homeFrozen
 )
@@ -54,7 +58,7 @@
 	switch homeFault(e.fault.Load()) {
 	case homeUnreachable:
 		return nil, home.Holder(), errGone
-	case replyLost, homeSlow:
+	case replyLost, homeSlow, homeReorders:
 		home.ReserveFor(ctx, q)
 		return nil, home.Holder(), errGone
 	case homeFrozen:
@@ -75,8 +79,12 @@
 	if homeFault(e.fault.Load()) == homeUnreachable {
 		return errGone
 	}
-	if homeFault(e.fault.Load()) == homeSlow {
+	switch homeFault(e.fault.Load()) {
+	case homeSlow:
 		time.Sleep(slowHomeTime)
+	case homeReorders:
+		time.Sleep(slowHomeTime * time.Duration(max(1, 4-e.settled.Add(1))))
+	default:
 	}
 	l.SettleFor(q)
 	return nil
@@ -311,6 +319,27 @@
 	}
 }
 
+// As before, but the end of an earlier turn's reservation reaches the home after the
+// cancellation.
+func TestEndInTransitIsNoSpentBudget(t *testing.T) {
+	const (
+		maxTokens = 100
+		turns     = 2
+	)
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	broker, e := f.newBroker()
+	defer broker.Close()
+	e.fault.Store(int64(homeReorders))
+	for range turns {
+		r, err := broker.Reserve(t.Context(), "p", turns*maxTokens, maxTokens)
+		assert.NilError(t, err)
+		r.Settle(maxTokens)
+	}
+	_, err := broker.Reserve(t.Context(), "p", turns*maxTokens, maxTokens)
+	assert.ErrorIs(t, err, budget.ErrSpent)
+}
+
 // As before, but the cancellation doesn't reach the home either, so it isn't known
 // whether the budget is spent.
 func TestUnreachableHomeIsNoSpentBudget(t *testing.T) {
