Route a take-up as the stream that it takes up

On a route that is split between services, requests without a program are divided by their ID. A caller that took up a stream has a new ID, so that about half of the take-ups reached the other service, with software of its own (found by a review). Change: a take-up is divided by the ID of the request that brought the first event. A stream whose route has been moved to another service since is still taken up there if that service has one version only.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -137,7 +138,7 @@
 }
 
 // pickTarget chooses one of the route's services by weight. All requests of a
-// program hash to the same one.
+// program hash to the same one, and so do those that take up a stream.
 func (x *exchange) pickTarget() string {
 	targets := x.route.Targets
 	if len(targets) == 0 {
@@ -150,10 +151,7 @@
 	if len(targets) == 1 || total == 0 {
 		return targets[0].Service
 	}
-	name := x.call.Program
-	if name == "" {
-		name = x.call.ID
-	}
+	name := cmp.Or(x.call.Program, x.call.Resumes, x.call.ID)
 	offset := int(xxhash.Sum64String(name) % uint64(total))
 	for _, t := range targets {
 		offset -= max(0, t.Weight)
