Don't name the version of a stream whose upstream was started again

An upstream may start again under its ID with another software version. If its new entry was read between the choice and the first event, the stream was still counted as one of the former version, and went on there after a break (found by a review).

Change: at the first event the upstream's entry is looked up once more; if its version differs, the stream's is unknown: the answer breaks off instead of going on, and a take-up is refused. Until the new entry is read nothing shows it.

--- a/proxy/resume.go
+++ b/proxy/resume.go
@@ -47,10 +47,17 @@
 	if !x.route.ResumableStream() {
 		return
 	}
+	origin := resume.Origin{Service: x.service.Name, Version: u.SoftwareVersion}
 	d.versions = []string{u.SoftwareVersion}
-	x.record.version = u.SoftwareVersion
+	if listed := x.proxy.Views.View().Upstream(u.Service, u.ID); listed != nil && listed.SoftwareVersion != u.SoftwareVersion {
+		// The upstream was started again under its ID; which process sent the event is
+		// unknown.
+		origin = resume.Origin{Service: x.service.Name, Unknown: true}
+		d.versions = []string{}
+	}
+	x.record.version = origin.Version
 	if x.call.LastEvent == "" {
-		x.proxy.Streams.Began(x.stream(x.call.ID), resume.Origin{Service: x.service.Name, Version: u.SoftwareVersion}, x.left())
+		x.proxy.Streams.Began(x.stream(x.call.ID), origin, x.left())
 	}
 }
 
--- a/resume/stream.go
+++ b/resume/stream.go
@@ -50,6 +50,8 @@
 	Origin struct {
 		Service string `json:"service"`
 		Version string `json:"version"`
+		// Unknown is set if it can't be told which version began the stream.
+		Unknown bool `json:"unknown,omitempty"`
 	}
 
 	// record is a stream with its origin.
--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -259,7 +259,7 @@
 		return "", Unknown, errors.Annotate(ErrUnknown, "the stream is not named")
 	}
 	if origin, ok := t.memory.get(s.key(), t.now()); ok {
-		return checkService(origin, service, Memory)
+		return checkOrigin(origin, service, Memory)
 	}
 	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
 	defer cancel()
@@ -267,7 +267,7 @@
 	if mixed(t.versions(service)) {
 		origin, err := t.readStream(ctx, s)
 		if err == nil {
-			return checkService(origin, service, Stored)
+			return checkOrigin(origin, service, Stored)
 		}
 		stored = err
 	}
@@ -290,14 +290,19 @@
 	if err != nil {
 		return "", Unknown, errors.WithType(err, ErrUnknown)
 	}
-	return checkService(origin, service, Stored)
+	return checkOrigin(origin, service, Stored)
 }
 
-func checkService(origin Origin, service string, source Source) (string, Source, error) {
-	if origin.Service != service {
+// checkOrigin returns the version of a stream of the service, from the source.
+func checkOrigin(origin Origin, service string, source Source) (string, Source, error) {
+	switch {
+	case origin.Unknown:
+		return "", Unknown, errors.Annotate(ErrUnknown, "the upstream was started again")
+	case origin.Service != service:
 		return "", Unknown, errors.Annotatef(ErrUnknown, "the stream began at service %s", origin.Service)
+	default:
+		return origin.Version, source, nil
 	}
-	return origin.Version, source, nil
 }
 
 // readVersions reads the service's row from the store.
--- a/site/view.go
+++ b/site/view.go
@@ -126,6 +126,16 @@
 // Pool returns the service's upstreams by ascending ID.
 func (v *View) Pool(service string) []*Upstream { return v.pools[service] }
 
+// Upstream returns the service's upstream with the ID, or nil.
+func (v *View) Upstream(service, id string) *Upstream {
+	pool := v.pools[service]
+	i, ok := slices.BinarySearchFunc(pool, id, func(u *Upstream, id string) int { return cmp.Compare(u.ID, id) })
+	if !ok {
+		return nil
+	}
+	return pool[i]
+}
+
 // Upstreams returns all upstreams by service and ascending ID.
 func (v *View) Upstreams() []*Upstream {
 	var all []*Upstream
