Divide streams evenly between the parts of their table

The hash of two hexadecimal digits gave some parts 1.7 times their share and others a third; the store runs a part's transactions one after the other. Evidence: TestStreamsAreDividedEvenly failed (1,749 of 1,000 streams in part 0). Change: xxhash of the whole key, as other tables of this project do.

--- a/resume/stream.go
+++ b/resume/stream.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/rows"
@@ -81,13 +82,7 @@
 }
 
 // partOf returns the part of the table that has the key.
-func partOf(key string) int {
-	var n int
-	for _, c := range key[:2] {
-		n = n*31 + int(c)
-	}
-	return n % parts
-}
+func partOf(key string) int { return int(xxhash.Sum64String(key) % parts) }
 
 func streamID(key string) rows.ID {
 	return rows.ID{Table: StreamTable, Part: partName(partOf(key)), Key: key}
