Skip rows of other parts in the table of versions

A row with a service's key in another part replaced the service's versions, and the true row counted as older (found by a review). Evidence: TestRowOfAnotherPartIsIgnored failed, the version became v2. Change: rows of other parts are skipped, as in the platform's own tables.

--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -122,7 +122,10 @@
 // Apply takes over rows of the versions table.
 func (t *Tracker) Apply(found []rows.Row) {
 	for _, r := range found {
-		t.apply(r)
+		// Rows of other parts are other writers'.
+		if r.ID == versionID(r.Key) {
+			t.apply(r)
+		}
 	}
 }
 
--- a/resume/tracker_test.go
+++ b/resume/tracker_test.go
@@ -238,6 +238,22 @@
 
 // What entries and rows of other writers hold is bounded, and a row that can't be
 // read may have had any versions.
+// Guards against a row of another part that replaces a service's versions: a stream was
+// then taken up at the version that the row names.
+func TestRowOfAnotherPartIsIgnored(t *testing.T) {
+	w := newWorld(t, "v1")
+	one := w.start()
+	assert.DeepEqual(t, one.Versions(t.Context(), service), []string{"v1"})
+	one.Apply([]rows.Row{{
+		ID:    rows.ID{Table: resume.VersionTable, Part: "x", Key: service},
+		Value: []byte(`{"versions":[{"version":"v2"}]}`), Version: 1 << 40,
+	}})
+	assert.DeepEqual(t, one.Versions(t.Context(), service), []string{"v1"})
+	version, _, err := one.Find(t.Context(), id(1), service, 0)
+	assert.NilError(t, err)
+	assert.Equal(t, version, "v1")
+}
+
 func TestOddVersions(t *testing.T) {
 	w := newWorld(t, "", string(make([]byte, 1000)), "v1")
 	one := w.start()
