Write streams at a part of the store's own rate

Change: the setting storeWriteRate, filled in from the platform's settings; all instances use a third of it together, and an instance may be ahead by one transaction a part.

--- a/conf/front.go
+++ b/conf/front.go
@@ -30,6 +30,9 @@
 	MetricsAddress string `json:"metricsAddress"`
 	// StoreAddress is the address of the platform's store, as IP:port.
 	StoreAddress string `json:"storeAddress"`
+	// StoreWriteRate is how many write calls a second the store takes from all
+	// instances together.
+	StoreWriteRate int `json:"storeWriteRate"`
 	// RowBytes is the maximum size of a row's value in the store, in bytes.
 	RowBytes int `json:"rowBytes"`
 	// MemoryMB is the memory limit of the process, in MB.
@@ -63,6 +66,7 @@
 		PeerAddress:    "127.0.0.1:8082",
 		MetricsAddress: "127.0.0.1:8083",
 		StoreAddress:   "127.0.0.1:7000",
+		StoreWriteRate: 800,
 		RowBytes:       64 << 10,
 		MemoryMB:       154,
 		KeyRevocation:  Duration(5 * time.Second),
@@ -118,6 +122,7 @@
 		field string
 		value float64
 	}{
+		{"storeWriteRate", float64(s.StoreWriteRate)},
 		{"rowBytes", float64(s.RowBytes)},
 		{"memoryMB", float64(s.MemoryMB)},
 		{"coldOverage", s.ColdOverage},
--- a/front/front.go
+++ b/front/front.go
@@ -143,7 +143,7 @@
 		StoreLost:  f.store.Lost,
 	})
 	f.streams = resume.NewTracker(log.Named("resume"), f.store, f.watcher, f.common.Metrics,
-		resume.Config{Process: peers.HolderName(f.roster.Self()), Instances: f.peers.Instances})
+		resume.Config{Process: peers.HolderName(f.roster.Self()), Instances: f.peers.Instances, StoreWriteRate: settings.StoreWriteRate})
 	f.proxy = proxy.NewProxy(proxy.Deps{
 		Log:       log.Named("gate"),
 		Metrics:   f.common.Metrics,
--- a/resume/property_test.go
+++ b/resume/property_test.go
@@ -66,7 +66,7 @@
 	i := &instance{fleet: f}
 	i.tracker = NewTracker(hclog.NewNullLogger(), f.store, i, metrics.NewRegistry(), Config{
 		Process:   fmt.Sprint("p", f.started),
-		Instances: func() int { return 1 },
+		Instances: func() int { return 1 }, StoreWriteRate: 800,
 	})
 	i.tracker.now = func() time.Duration { return f.now }
 	f.t.Cleanup(i.tracker.Close)
--- a/resume/retire_test.go
+++ b/resume/retire_test.go
@@ -36,7 +36,7 @@
 	t.Helper()
 	tracker := NewTracker(hclog.NewNullLogger(), store, views, metrics.NewRegistry(), Config{
 		Process:   process,
-		Instances: func() int { return 1 },
+		Instances: func() int { return 1 }, StoreWriteRate: 800,
 	})
 	t.Cleanup(tracker.Close)
 	return tracker
@@ -136,7 +136,7 @@
 // A row is removed by its writer once its stream can't be taken up any more.
 func TestExpiredStreamsAreRemoved(t *testing.T) {
 	store := rows.NewMemory()
-	w := newWriter(hclog.NewNullLogger(), store, metrics.NewRegistry(), func() int { return 1 })
+	w := newWriter(hclog.NewNullLogger(), store, metrics.NewRegistry(), Config{Instances: func() int { return 1 }, StoreWriteRate: 800})
 	now := common.Uptime()
 	const streams = 250
 	for i := range streams {
--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -59,6 +59,9 @@
 		Process string
 		// Instances returns how many instances there are.
 		Instances func() int
+		// StoreWriteRate is how many write calls a second the store takes from all
+		// instances together.
+		StoreWriteRate int
 	}
 
 	// Tracker knows the versions of each service and finds those of streams. It is
@@ -93,7 +96,7 @@
 		views:   views,
 		config:  config,
 		memory:  newMemory(),
-		writer:  newWriter(log, store, registry, config.Instances),
+		writer:  newWriter(log, store, registry, config),
 		found:   make(map[Source]metrics.Counter),
 		group:   group.NewGroup(context.Background()),
 		wake:    make(chan struct{}, 1),
--- a/resume/tracker_test.go
+++ b/resume/tracker_test.go
@@ -158,7 +158,7 @@
 	w.names++
 	t := resume.NewTracker(hclog.NewNullLogger(), w.store, w, metrics.NewRegistry(), resume.Config{
 		Process:   fmt.Sprintf("p%d", w.names),
-		Instances: func() int { return 1 },
+		Instances: func() int { return 1 }, StoreWriteRate: 800,
 	})
 	w.read(t)
 	t.Start()
--- a/resume/writer.go
+++ b/resume/writer.go
@@ -18,11 +18,11 @@
 	maxTxnRows = 100
 	// maxPending bounds the streams that wait to be written or removed.
 	maxPending = 8 << 10
-	// fleetWriteInterval is the mean time between two transactions of the whole fleet,
-	// about a third of what a small store takes; writeBurst is how many an instance
-	// may be ahead of its share.
-	fleetWriteInterval = 4 * time.Millisecond
-	writeBurst         = 4
+	// storeShare is the part of the store's write calls that all instances together
+	// may use for streams, as a divisor; writeBurst is how many transactions an
+	// instance may be ahead of its part of that.
+	storeShare = 3
+	writeBurst = parts
 	// maxWrites bounds the transactions of an instance in flight, and writeTimeout
 	// the time of one.
 	maxWrites    = 8
@@ -43,14 +43,14 @@
 	// expired. Each part has at most one transaction in flight; what comes meanwhile
 	// shares the next.
 	writer struct {
-		log       hclog.Logger
-		store     rows.Store
-		instances func() int
-		written   metrics.Counter
-		lost      metrics.Counter
-		group     *group.Group
-		wake      chan struct{}
-		slots     chan struct{}
+		log     hclog.Logger
+		store   rows.Store
+		config  Config
+		written metrics.Counter
+		lost    metrics.Counter
+		group   *group.Group
+		wake    chan struct{}
+		slots   chan struct{}
 
 		mu      sync.Mutex
 		queues  [parts]queue
@@ -82,19 +82,24 @@
 	}
 )
 
-func newWriter(log hclog.Logger, store rows.Store, registry metrics.Registry, instances func() int) *writer {
+func newWriter(log hclog.Logger, store rows.Store, registry metrics.Registry, config Config) *writer {
 	return &writer{
-		log:       log,
-		store:     store,
-		instances: instances,
-		written:   metrics.GetOrRegisterCounter("resume.streamsWritten", registry),
-		lost:      metrics.GetOrRegisterCounter("resume.streamsNotWritten", registry),
-		group:     group.NewGroup(context.Background()),
-		wake:      make(chan struct{}, 1),
-		slots:     make(chan struct{}, maxWrites),
+		log:     log,
+		store:   store,
+		config:  config,
+		written: metrics.GetOrRegisterCounter("resume.streamsWritten", registry),
+		lost:    metrics.GetOrRegisterCounter("resume.streamsNotWritten", registry),
+		group:   group.NewGroup(context.Background()),
+		wake:    make(chan struct{}, 1),
+		slots:   make(chan struct{}, maxWrites),
 	}
 }
 
+// writeInterval returns the mean time between two transactions of this instance.
+func (c Config) writeInterval() time.Duration {
+	return time.Second * storeShare * time.Duration(max(1, c.Instances())) / time.Duration(max(1, c.StoreWriteRate))
+}
+
 // add queues the streams. It never waits.
 func (w *writer) add(records ...record) {
 	w.mu.Lock()
@@ -142,7 +147,7 @@
 			<-w.slots
 			w.notify()
 		})
-		now, interval := common.Uptime(), fleetWriteInterval*time.Duration(max(1, w.instances()))
+		now, interval := common.Uptime(), w.config.writeInterval()
 		nextAt = max(nextAt, now-writeBurst*interval) + interval
 		group.Sleep(ctx, nextAt-now)
 	}
