--- a/front/stop.go
+++ b/front/stop.go
@@ -18,14 +18,15 @@
 	stopMargin = 700 * time.Millisecond
 	// maxMarginFraction bounds stopMargin to a part of a short grace period.
 	maxMarginFraction = 8
-	// minSettleTime is how long the budgets' last messages may take at least, even if
-	// callers were answered until the end.
-	minSettleTime = 200 * time.Millisecond
+	// settleSevenths is the part of that margin in which the budgets' last messages are
+	// sent, if callers were answered until its beginning, and deregisterSevenths the one
+	// for the removal of this instance from the roster. The rest is for the end of the
+	// process.
+	settleSevenths     = 2
+	deregisterSevenths = 3
 	// homeTime is how long turns at other instances may take to end the reservations
 	// that they made here before this instance was leaving.
 	homeTime = time.Second
-	// deregisterTimeout bounds the removal of this instance from the roster.
-	deregisterTimeout = 300 * time.Millisecond
 )
 
 // stopPlan divides the grace period of a planned stop.
@@ -36,12 +37,22 @@
 	// answer is how long requests in progress may take, both from the stop signal.
 	first  time.Duration
 	answer time.Duration
+	// settle and deregister bound the two steps that may follow then.
+	settle     time.Duration
+	deregister time.Duration
 }
 
 func newStopPlan(grace time.Duration) stopPlan {
-	answer := grace - min(stopMargin, grace/maxMarginFraction)
+	margin := min(stopMargin, grace/maxMarginFraction)
+	answer := grace - margin
 	accept := min(balancerDelay, answer/2)
-	return stopPlan{accept: accept, first: accept + drain.FirstRequestTime(accept), answer: answer}
+	return stopPlan{
+		accept:     accept,
+		first:      accept + drain.FirstRequestTime(accept),
+		answer:     answer,
+		settle:     margin * settleSevenths / 7,
+		deregister: margin * deregisterSevenths / 7,
+	}
 }
 
 // Drain stops the instance gracefully: the readiness check fails first, callers
@@ -65,18 +76,17 @@
 	})
 	group.Sleep(ctx, plan.accept)
 	err := f.finishCallers(ctx, start.Add(plan.first))
-	unsettled := f.settleBudgets(start.Add(plan.answer))
-	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), deregisterTimeout)
+	unsettled := f.settleBudgets(max(time.Until(start.Add(plan.answer)), plan.settle))
+	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), plan.deregister)
 	defer cancelDeregister()
 	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
 	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled)
 }
 
 // settleBudgets ends the turns' reservations at the programs' homes and drains the
-// ledger, until the time if that is not too soon. It returns how many reservations
-// are left.
-func (f *Front) settleBudgets(until time.Time) int {
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(until), minSettleTime))
+// ledger, which may take the given time. It returns how many reservations are left.
+func (f *Front) settleBudgets(timeout time.Duration) int {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	g := group.NewGroup(ctx)
 	defer g.Close()
