Count no load of another answer

The load in an answer counted for the upstream that the request was sent to before the answer was checked: also one of another request, or of another upstream that now has the address. Change: load and announced shutdown are taken from the same checked answer.

--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -319,16 +319,15 @@
 	x.current.noteReceived()
 	answer := x.proxy.Codec.ReadAnswer(resp)
 	now := common.Uptime()
-	if answer.HasLoad {
-		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
-	}
 	if !x.isAnswer(resp) {
 		x.proxy.Picker.Done(u.ID, pick.Broken, now)
 		x.addTrail(u, "answer to another request: "+answer.RequestID+" "+resp.Status)
 		x.record.runs++
 		return mayHaveRun
 	}
-	x.noteLeaving(u, answer, now)
+	if !answer.WrongUpstream {
+		x.noteState(u, answer, now)
+	}
 	if answer.NotRun {
 		outcome := pick.Busy
 		if answer.WrongUpstream {
@@ -347,14 +346,13 @@
 	return x.relayResponse(u, d, resp)
 }
 
-// noteLeaving reports an upstream that announces its shutdown. Only an answer to
-// this request from the upstream itself counts: bytes of another answer, or of
-// another upstream at the address, don't show whose announcement they hold.
-func (x *exchange) noteLeaving(u *site.Upstream, answer Answer, now time.Duration) {
-	if !answer.Leaving || answer.WrongUpstream {
-		return
+// noteState reports what an answer to this request says of the upstream itself. Bytes of
+// another answer, or of another upstream at the address, don't show whose state they hold.
+func (x *exchange) noteState(u *site.Upstream, answer Answer, now time.Duration) {
+	if answer.HasLoad {
+		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
 	}
-	if x.proxy.Picker.ReportLeaving(u, now) {
+	if answer.Leaving && x.proxy.Picker.ReportLeaving(u, now) {
 		x.proxy.Log.Info("upstream announces its shutdown; sending it no more requests", "request", x.call.ID,
 			"upstream", u.ID, "service", u.Service, "address", u.Address, "incarnation", u.Incarnation)
 	}
