Tell updates, edits and versions apart in package resume

A type, a method and a file had one name; the loop over services went by the state dump; a row that changes too often was given up without a line. The request's log line is laid out anew, with the same fields.

--- a/proxy/record.go
+++ b/proxy/record.go
@@ -85,15 +85,18 @@
 	if x.route != nil {
 		route = x.route.Name
 	}
+	r := x.record
 	x.proxy.Log.Info("request ended", "request", x.call.ID, "route", route, "team", x.teamName(),
 		"program", x.call.Program, "line", x.call.Line, "previous", x.call.PreviousTurn, "resumes", x.call.Resumes,
-		"status", x.record.status, "reason", x.record.reason, "attempts", x.record.attempts, "trail", x.record.trail,
-		"version", x.record.version, "versionSource", x.record.versionSource, "resumeMs", x.record.resumeTime.Milliseconds(), "events", x.record.events, "kept", x.record.kept, "quota", x.record.quotaLevel, "quotaMs", x.record.quotaTime.Milliseconds(), "turnsMs", x.record.turnsTime.Milliseconds(),
-		"budgetMs", x.record.budgetTime.Milliseconds(), "admitMs", x.record.admitted.Milliseconds(), "firstMs", x.record.firstByte.Milliseconds(),
-		"totalMs", elapsed.Milliseconds(), "patienceMs", x.call.Timeout.Milliseconds(),
-		"config", x.view.Version, "configAgeMs", x.record.configAge.Milliseconds(), "cut", x.record.aborted,
-		"connRequests", x.record.conn.Requests, "connWaitMs", x.record.conn.Waited.Milliseconds(), "drainingMs", x.record.draining.Milliseconds())
-	if x.record.aborted {
+		"status", r.status, "reason", r.reason, "attempts", r.attempts, "trail", r.trail,
+		"version", r.version, "versionSource", r.versionSource, "events", r.events, "kept", r.kept, "quota", r.quotaLevel,
+		"quotaMs", r.quotaTime.Milliseconds(), "resumeMs", r.resumeTime.Milliseconds(),
+		"turnsMs", r.turnsTime.Milliseconds(), "budgetMs", r.budgetTime.Milliseconds(),
+		"admitMs", r.admitted.Milliseconds(), "firstMs", r.firstByte.Milliseconds(), "totalMs", elapsed.Milliseconds(),
+		"patienceMs", x.call.Timeout.Milliseconds(), "config", x.view.Version, "configAgeMs", r.configAge.Milliseconds(),
+		"cut", r.aborted, "connRequests", r.conn.Requests, "connWaitMs", r.conn.Waited.Milliseconds(),
+		"drainingMs", r.draining.Milliseconds())
+	if r.aborted {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -344,13 +344,20 @@
 	return page.Rows[0], nil
 }
 
+// services returns the services that have a row.
+func (t *Tracker) services() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Sorted(maps.Keys(t.states))
+}
+
 // Dump returns the listed versions by service.
 func (t *Tracker) Dump() map[string][]Listed {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	dump := make(map[string][]Listed, len(t.states))
-	for _, service := range slices.Sorted(maps.Keys(t.states)) {
-		dump[service] = t.states[service].versions
+	for service, s := range t.states {
+		dump[service] = s.versions
 	}
 	return dump
 }
--- a/resume/change.go
+++ b/resume/update.go
@@ -30,17 +30,17 @@
 	// removalDelay is how long a version is retiring before it is removed: instances
 	// with an older view may begin streams for maxViewAge.
 	removalDelay = maxViewAge + streamTTL
-	// changeTimeout bounds a change of a row, and maxChanges its tries.
-	changeTimeout = time.Second
-	maxChanges    = 8
+	// updateTimeout bounds an update of a row, and maxUpdates its tries.
+	updateTimeout = time.Second
+	maxUpdates    = 8
 	// sweepPause is the pause between two transactions that remove the streams of a
 	// service.
 	sweepPause = 50 * time.Millisecond
 	sweepLimit = 500
 )
 
-// change returns the new versions of a service, and whether they differ.
-type change func(s *state, writer string) ([]Listed, bool)
+// edit returns the new versions of a service, and whether they differ.
+type edit func(s *state, writer string) ([]Listed, bool)
 
 func (t *Tracker) notify() {
 	select {
@@ -81,7 +81,7 @@
 // list adds the versions of the service's upstreams to its row.
 func (t *Tracker) list(ctx context.Context, service string, view *site.View) {
 	present := presentVersions(view, service)
-	t.change(ctx, service, func(s *state, _ string) ([]Listed, bool) { return add(s.versions, present) })
+	t.update(ctx, service, func(s *state, _ string) ([]Listed, bool) { return add(s.versions, present) })
 }
 
 func presentVersions(view *site.View, service string) []string {
@@ -99,9 +99,9 @@
 func (t *Tracker) retireAbsent(ctx context.Context, view *site.View, now time.Duration) {
 	age, known := t.views.Age(now)
 	fresh := known && age < absenceViewAge
-	for service := range t.Dump() {
+	for _, service := range t.services() {
 		absent := t.noteAbsent(service, presentVersions(view, service), fresh, now)
-		t.change(ctx, service, func(s *state, writer string) ([]Listed, bool) {
+		t.update(ctx, service, func(s *state, writer string) ([]Listed, bool) {
 			if len(s.versions) < 2 {
 				return nil, false
 			}
@@ -150,14 +150,14 @@
 	return absent
 }
 
-// change writes the service's row if its versions change.
-func (t *Tracker) change(ctx context.Context, service string, next change) {
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+// update writes the service's row if its versions change.
+func (t *Tracker) update(ctx context.Context, service string, next edit) {
+	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	for range maxChanges {
-		txn, before, err := t.changeTxn(service, next)
+	for range maxUpdates {
+		txn, before, err := t.updateTxn(service, next)
 		if err != nil || len(txn.Writes) == 0 {
-			t.logChange(service, err)
+			t.logUpdate(service, err)
 			return
 		}
 		version, err := rows.CommitUntilKnown(ctx, t.store, txn)
@@ -170,22 +170,23 @@
 			}
 			return
 		case !errors.As(err, &conflict):
-			t.logChange(service, err)
+			t.logUpdate(service, err)
 			return
 		}
 		t.apply(conflict.Row(versionID(service)))
 	}
+	t.logUpdate(service, errors.New("the row changes too often"))
 }
 
-func (t *Tracker) logChange(service string, err error) {
+func (t *Tracker) logUpdate(service string, err error) {
 	if err != nil {
 		t.log.Warn("versions of the service can't be written", "service", service, "error", err)
 	}
 }
 
-// changeTxn returns the transaction for the change, without writes if there is none,
+// updateTxn returns the transaction for the edit, without writes if there is none,
 // and the versions before it.
-func (t *Tracker) changeTxn(service string, next change) (rows.Txn, []Listed, error) {
+func (t *Tracker) updateTxn(service string, next edit) (rows.Txn, []Listed, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(service)
