--- a/review/standin/budget.go
+++ b/review/standin/budget.go
@@ -12,7 +12,7 @@
 	// programBudget and turnTokens are those of the pages' example of a turn.
 	programBudget = 4576
 	turnTokens    = 572
-	programCount  = 12
+	programCount  = 24
 	turnDeadline  = 3 * time.Second
 	// outage is the largest length of a store that is down in the site file, and
 	// killedFor that of a machine that is killed.
--- a/review/standin/heavy.go
+++ b/review/standin/heavy.go
@@ -10,7 +10,7 @@
 const (
 	// loopEvery is the time between the starts of two programs, loopFor how long
 	// programs start.
-	loopEvery = 20 * time.Millisecond
+	loopEvery = 10 * time.Millisecond
 	loopFor   = 5 * time.Second
 	// stopLead is how long before the outage the planned stop begins.
 	stopLead = 900 * time.Millisecond
