Let a home serve whole budgets at once after a start in calm

Cause: a home ends provisional allocations only RecordDelay after an outage. A process that has just started couldn't tell calm from the end of an outage, waited as well, and yet took over its programs at once.

Change: instances tell each other for how long they have reached the store. One that starts inherits that and waits only if the store was away just now or nobody can tell. It registers once it can vouch, or after 150 ms: homes move to it then. The error of a home that can't vouch gives the reason.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -64,9 +64,9 @@
 	// storeDownTimeout is how long a turn waits for a store that is down if it gets
 	// no provisional allocation.
 	storeDownTimeout = 600 * time.Millisecond
-	// RecordDelay is the time after an outage, and after a process' start, within
-	// which homes and holders have recorded provisional allocations in the store;
-	// they retry every few hundred milliseconds.
+	// RecordDelay is the time after an outage within which homes and holders have
+	// recorded provisional allocations in the store; they retry every few hundred
+	// milliseconds.
 	RecordDelay = 1500 * time.Millisecond
 	// storeBackoff is how long the store is not asked first after it did not
 	// answer.
@@ -99,6 +99,10 @@
 		// StoreDown reports whether the store seems to be down for all instances. An
 		// instance that is partitioned from its peers can't know.
 		StoreDown func() bool
+		// StoreReached returns how long the store has been reachable without
+		// interruption, this process' predecessors and peers included; 0 if it isn't or
+		// if that isn't known.
+		StoreReached func() time.Duration
 		// FirstStart is set if the whole deployment starts for the first time, so
 		// that no earlier process can have granted anything.
 		FirstStart bool
@@ -384,7 +388,7 @@
 // StoreLost records that the store is unreachable, so that provisional allocations
 // may be granted.
 func (l *Ledger) StoreLost() {
-	ready := l.home.storeLost(common.Uptime())
+	ready := l.Ready()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.startedStoreDown = l.startedStoreDown || !ready
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -27,8 +28,9 @@
 	started int
 	opened  []*budget.Ledger
 	home    *budget.Ledger
-	// away is what instances assume about the store.
-	away atomic.Bool
+	// away is what instances assume about the store, which was last away until awayAt.
+	away   atomic.Bool
+	awayAt atomic.Int64
 	// bookTime is 0 if no outage preceded.
 	bookTime time.Duration
 	// forget is 0 if all instances have run for long.
@@ -91,7 +93,17 @@
 }
 
 func (f *fleet) ledgerConfig() budget.Config {
-	return budget.Config{FirstStart: f.firstStart, IdleTTL: f.forget, RecordDelay: f.bookTime, StoreDown: f.away.Load}
+	started := common.Uptime()
+	return budget.Config{
+		StoreDown: f.away.Load,
+		StoreReached: func() time.Duration {
+			if f.away.Load() {
+				return 0
+			}
+			return common.Uptime() - max(started, time.Duration(f.awayAt.Load()))
+		},
+		FirstStart: f.firstStart, IdleTTL: f.forget, RecordDelay: f.bookTime,
+	}
 }
 
 // failStore makes the store unreachable and notifies every running process.
@@ -105,6 +117,7 @@
 
 func (f *fleet) restoreStore() {
 	f.store.SetFault(nil, false)
+	f.awayAt.Store(int64(common.Uptime()))
 	f.away.Store(false)
 }
 
--- a/budget/home.go
+++ b/budget/home.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/rows"
@@ -38,12 +40,8 @@
 	// the store is down.
 	home struct {
 		mu sync.Mutex
-		// ready is set once the table of heavy programs was read completely, at
-		// readyAt.
-		ready   bool
-		readyAt time.Duration
-		// storeLostAt is when the store was last found unreachable.
-		storeLostAt   time.Duration
+		// ready is set once the table of heavy programs was read completely.
+		ready         bool
 		heavyPrograms map[string]bool
 		provisionals  map[string]*provisional
 	}
@@ -64,13 +62,12 @@
 	return &home{heavyPrograms: make(map[string]bool), provisionals: make(map[string]*provisional)}
 }
 
-// storeLost records that the store is unreachable and reports whether the table of
-// heavy programs was read before.
-func (h *home) storeLost(now time.Duration) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.storeLostAt = now
-	return h.ready
+// Ready reports whether the table of heavy programs was read completely, so that this
+// instance can be the home of programs.
+func (l *Ledger) Ready() bool {
+	l.home.mu.Lock()
+	defer l.home.mu.Unlock()
+	return l.home.ready
 }
 
 // LoadHeavyPrograms applies a complete read of the table of heavy programs.
@@ -78,9 +75,7 @@
 	l.UpdateHeavyPrograms(found)
 	l.home.mu.Lock()
 	defer l.home.mu.Unlock()
-	if !l.home.ready {
-		l.home.ready, l.home.readyAt = true, common.Uptime()
-	}
+	l.home.ready = true
 }
 
 // UpdateHeavyPrograms applies changes of the table of heavy programs.
@@ -139,8 +134,11 @@
 	h := l.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.ready || common.Uptime() < max(h.readyAt, h.storeLostAt)+l.config.RecordDelay {
-		return Ended{}, ErrUnavailable
+	if !h.ready {
+		return Ended{}, errors.Annotate(ErrUnavailable, "the table of heavy programs isn't read yet")
+	}
+	if reached := l.config.StoreReached(); reached < l.config.RecordDelay {
+		return Ended{}, errors.Annotatef(ErrUnavailable, "the store may have been down %s ago", reached)
 	}
 	h.heavyPrograms[program] = true
 	ended := Ended{
--- a/front/front.go
+++ b/front/front.go
@@ -130,11 +130,20 @@
 	f.peers = peers.NewClient(log.Named("mates"), f.roster, f.conns, settings.Seeds)
 	f.store = bypass.NewStore(f.direct, f.peers, func() bool { return f.watcher.StoreDown() })
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, peers.HolderName(f.roster.Self()),
-		budget.Config{FirstStart: settings.FirstStart, IdleTTL: idleBudgetTTL, RecordDelay: budget.RecordDelay, StoreDown: func() bool { return f.watcher.StoreDown() }})
+		budget.Config{
+			StoreDown:    func() bool { return f.watcher.StoreDown() },
+			StoreReached: func() time.Duration { return f.watcher.Reached() },
+			FirstStart:   settings.FirstStart,
+			IdleTTL:      idleBudgetTTL,
+			RecordDelay:  budget.RecordDelay,
+		})
 	f.peers.Serve(f.ledger)
 	f.broker = budget.NewBroker(log.Named("budget"), f.ledger, f.peers)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
 		watch.Events{Works: f.store.ResetBackoff, Lost: f.storeLost})
+	if settings.FirstStart {
+		f.watcher.FirstStart()
+	}
 	f.buckets = share.NewBuckets(f.roster.Rank, common.Uptime())
 	f.limiter = share.NewLimiter(f.buckets, f.peers)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.peers, turns.Config{
@@ -233,7 +242,7 @@
 	f.watcher.Follow(budget.HeavyTable, heavyInterval, f.ledger.LoadHeavyPrograms, f.ledger.UpdateHeavyPrograms)
 	f.watcher.Follow(resume.VersionTable, versionInterval, f.streams.Apply, f.streams.Apply)
 	f.streams.Start()
-	f.group.Go(f.register)
+	f.group.Go(f.registerWhenReady)
 	f.group.Go(f.removeLost)
 	f.group.Go(func(context.Context) { f.logServe(callerListener, f.callerServer.Serve()) })
 	f.group.Go(func(context.Context) { f.logServe(readyListener, f.readyServer.Serve(f.listeners[readyListener])) })
--- a/front/roster.go
+++ b/front/roster.go
@@ -19,6 +19,10 @@
 	// stopped to use its shares of quotas before others take them over.
 	lostTimeout = 8 * time.Second
 	lostMargin  = 3 * time.Second
+	// homeReadyTime is how long an instance that starts waits until it can be the home
+	// of programs before it registers all the same.
+	homeReadyTime     = 150 * time.Millisecond
+	homeReadyInterval = 5 * time.Millisecond
 )
 
 func (f *Front) replaceRoster(found []rows.Row) {
@@ -62,6 +66,22 @@
 	return e, err == nil
 }
 
+// registerWhenReady adds this instance to the roster once it can be the home of programs,
+// which then moves to it. It doesn't wait long, since quotas need its registration too.
+func (f *Front) registerWhenReady(ctx context.Context) {
+	until := f.startedAt + homeReadyTime
+	for !f.ledger.Ready() || f.watcher.AsksReached() {
+		if common.Uptime() > until {
+			f.log.Info("registering before this instance can vouch for budgets", "heavyProgramsRead", f.ledger.Ready())
+			break
+		}
+		if !group.Sleep(ctx, homeReadyInterval) {
+			return
+		}
+	}
+	f.register(ctx)
+}
+
 // register adds this instance to the roster.
 func (f *Front) register(ctx context.Context) {
 	txn, err := f.roster.Registration()
--- a/watch/operator.go
+++ b/watch/operator.go
@@ -8,9 +8,15 @@
 
 func (w *Watcher) operatorFresh(at time.Duration) {
 	w.setFreshAt(at)
+	w.reach.works(at)
 	w.events.Works()
 }
 
+func (w *Watcher) operatorFailed() {
+	w.reach.fails()
+	w.events.Lost()
+}
+
 // wholeOperator applies a complete read of the operator's table. A failure domain
 // without a row is in service again.
 func (w *Watcher) wholeOperator(found []rows.Row) {
--- a/watch/peers.go
+++ b/watch/peers.go
@@ -18,6 +18,9 @@
 	// an instance that knows nothing yet.
 	peerInterval  = 200 * time.Millisecond
 	startInterval = 50 * time.Millisecond
+	// reachInterval is how long after its start an instance asks peers since when they
+	// have reached the store; it has then reached that for long itself.
+	reachInterval = 2 * time.Second
 )
 
 // pollPeers asks other instances for updates at the start, when their reads may be
@@ -32,6 +35,9 @@
 		if known && age < maxDirectAge {
 			helped = false
 			w.setStoreDown(false)
+			if w.AsksReached() {
+				w.askPeers(ctx)
+			}
 			continue
 		}
 		updates, ok := w.askPeers(ctx)
@@ -47,12 +53,26 @@
 // peerPause returns the time until peers are asked again; an instance that knows
 // nothing yet can serve nobody.
 func (w *Watcher) peerPause() time.Duration {
-	if w.complete.Load() {
+	if w.complete.Load() && !w.AsksReached() {
 		return peerInterval
 	}
 	return startInterval
 }
 
+// AsksReached reports whether peers may still tell since when they have reached the
+// store.
+func (w *Watcher) AsksReached() bool {
+	return common.Uptime()-w.startedAt < reachInterval && w.reach.asks()
+}
+
+// Reached returns how long the store has been reachable without interruption, as far as
+// this instance and those that it asked at its start know; 0 if it isn't.
+func (w *Watcher) Reached() time.Duration { return w.reach.until(common.Uptime()) }
+
+// FirstStart records that the whole deployment starts for the first time, so that no
+// earlier process can have missed the store. It must be called before Start.
+func (w *Watcher) FirstStart() { w.reach.tell(w.startedAt - maxReach) }
+
 // askPeers asks other instances for updates and applies them. What they know is as
 // current as it was at their last call of the store, and never replaces what is
 // newer.
@@ -72,6 +92,9 @@
 		}
 	}
 	w.setFreshAt(start - updates.Age)
+	if updates.Reached > 0 && updates.Age < maxDirectAge {
+		w.reach.tell(start - updates.Age - updates.Reached)
+	}
 	return updates, ok
 }
 
@@ -89,10 +112,11 @@
 
 // UpdatesSince returns the rows that are newer than the positions.
 func (w *Watcher) UpdatesSince(known Positions) Updates {
-	age, ok := w.Age(common.Uptime())
+	now := common.Uptime()
+	age, ok := w.Age(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	updates := Updates{Age: age, Known: ok, Positions: maps.Clone(w.positions)}
+	updates := Updates{Age: age, Known: ok, Reached: w.reach.until(now - age), Positions: maps.Clone(w.positions)}
 	for id, r := range w.known {
 		if r.Version > known[id.Table] {
 			updates.Rows = append(updates.Rows, r)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -91,8 +91,11 @@
 		// Age is the maximum age of the sender's view of the operator's table.
 		Age time.Duration `json:"age"`
 		// Known is false if the sender has not read every required table yet.
-		Known bool       `json:"known"`
-		Rows  []rows.Row `json:"rows"`
+		Known bool `json:"known"`
+		// Reached is how long the sender had reached the store without interruption
+		// that long ago.
+		Reached time.Duration `json:"reached"`
+		Rows    []rows.Row    `json:"rows"`
 		// Positions are the sender's own.
 		Positions Positions `json:"positions"`
 	}
@@ -115,6 +118,7 @@
 		startedAt time.Duration
 		view      atomic.Pointer[site.View]
 		freshAt   atomic.Int64
+		reach     reach
 		// complete is set once every required table was read.
 		complete   atomic.Bool
 		storeDown  atomic.Bool
@@ -194,7 +198,7 @@
 		rows:     w.operatorRows,
 		fresh:    w.operatorFresh,
 		prober:   newProber(w),
-		failed:   w.events.Lost,
+		failed:   w.operatorFailed,
 	})
 	w.follow(feed{
 		table:    upstreams,
