Tell all rows to instances that missed removals

Cause: an instance that can't reach the store takes over a peer's rows and positions. A peer that read the table whole after the removal has neither the row nor a mark of it, so the position passed the removal, and the store's own change was then dropped as known.

Evidence: the log has "receiving updates via a peer" and no removal.

Change: an instance remembers at which version it read each table whole. It tells askers from before that all rows, which they apply like a whole read of their own. Rows and positions are applied together under one lock, since the store and peers may tell of the same table at once.

--- a/watch/peers.go
+++ b/watch/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/buckthorntide/buckthorntide/common"
@@ -82,15 +83,9 @@
 	if !ok || !updates.Known {
 		return updates, ok
 	}
-	if err := w.apply(updates.Rows); err != nil {
+	if err := w.apply(updates); err != nil {
 		return Updates{}, false
 	}
-	for table := range w.required {
-		if version := updates.Positions[table]; version > 0 {
-			w.advance(table, version)
-			w.wasRead(table)
-		}
-	}
 	w.setFreshAt(start - updates.Age)
 	if updates.Reached > 0 && updates.Age < maxDirectAge {
 		w.reach.tell(start - updates.Age - updates.Reached)
@@ -110,15 +105,23 @@
 	w.log.Info("store reachability changed for all instances", "away", down, "ageMs", age.Milliseconds())
 }
 
-// UpdatesSince returns the rows that are newer than the positions.
+// UpdatesSince returns the rows that are newer than the positions, and all rows of the
+// tables that were read whole after those.
 func (w *Watcher) UpdatesSince(known Positions) Updates {
 	now := common.Uptime()
 	age, ok := w.Age(now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	updates := Updates{Age: age, Known: ok, Reached: w.reach.until(now - age), Positions: maps.Clone(w.positions)}
+	whole := make(map[string]bool)
+	for table := range w.required {
+		if known[table] < w.wholeAt[table] {
+			whole[table] = true
+			updates.Whole = append(updates.Whole, table)
+		}
+	}
 	for id, r := range w.known {
-		if r.Version > known[id.Table] {
+		if whole[id.Table] || r.Version > known[id.Table] {
 			updates.Rows = append(updates.Rows, r)
 		}
 	}
@@ -131,29 +134,43 @@
 	return maps.Clone(w.positions)
 }
 
-// apply applies the changes that another instance told.
-func (w *Watcher) apply(found []rows.Row) error {
+// apply applies what another instance told of the tables that are followed.
+func (w *Watcher) apply(updates Updates) error {
 	byTable := make(map[string][]rows.Row)
-	for _, r := range w.unknown(found) {
+	for _, r := range updates.Rows {
 		byTable[r.Table] = append(byTable[r.Table], r)
 	}
-	for table, changes := range byTable {
+	for table := range w.required {
+		version := updates.Positions[table]
 		w.mu.Lock()
-		applier, ok := w.appliers[table]
+		f, followed := w.feeds[table]
 		w.mu.Unlock()
-		if !ok || !w.required[table] {
+		if !followed || version == 0 {
 			continue
 		}
-		if err := w.applyTo(table, changes, applier); err != nil {
+		if err := w.applyTold(f, byTable[table], version, slices.Contains(updates.Whole, table)); err != nil {
 			return err
 		}
+		w.wasRead(table)
 	}
 	return nil
 }
 
-func (w *Watcher) applyTo(table string, changes []rows.Row, applier func(found []rows.Row)) (err error) {
-	defer w.recoverPanic(table, &err)
-	applier(changes)
+// applyTold applies the rows of a table up to the version of another instance, which
+// are all of its rows if whole is set.
+func (w *Watcher) applyTold(f feed, found []rows.Row, version int64, whole bool) (err error) {
+	defer w.recoverPanic(f.table, &err)
+	if !whole {
+		w.applyChanges(f, found, version)
+		return nil
+	}
+	present := slices.DeleteFunc(found, func(r rows.Row) bool { return r.Deleted })
+	if err := w.applyWhole(f, present, version); err != nil {
+		// The store has told more meanwhile.
+		w.log.Debug("table of a peer not taken over", "table", f.table, "error", err)
+		return nil
+	}
+	w.log.Info("table taken over from a peer", "table", f.table, "rows", len(present), "version", version)
 	return nil
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -96,6 +96,9 @@
 		// that long ago.
 		Reached time.Duration `json:"reached"`
 		Rows    []rows.Row    `json:"rows"`
+		// Whole names the tables of which Rows has all, since the sender doesn't know
+		// which rows were removed since the receiver's position.
+		Whole []string `json:"whole,omitempty"`
 		// Positions are the sender's own.
 		Positions Positions `json:"positions"`
 	}
@@ -120,8 +123,11 @@
 		freshAt   atomic.Int64
 		reach     reach
 		// complete is set once every required table was read.
-		complete   atomic.Bool
-		storeDown  atomic.Bool
+		complete  atomic.Bool
+		storeDown atomic.Bool
+		// applying is held while changes of tables are applied, since both the store
+		// and peers tell of them.
+		applying   sync.Mutex
 		mu         sync.Mutex
 		config     *site.Config
 		domainsOut map[string]bool
@@ -129,10 +135,13 @@
 		// known are the rows that were applied, including deleted ones.
 		known     map[rows.ID]rows.Row
 		positions Positions
+		// wholeAt are the versions at which the tables were last read whole: removals
+		// before them may not be among the known rows.
+		wholeAt Positions
 		// required are the tables that this instance must know, and that it tells
-		// others; appliers apply changes of them. unread are those not read yet.
+		// others; feeds are those that are followed. unread are those not read yet.
 		required map[string]bool
-		appliers map[string]func(found []rows.Row)
+		feeds    map[string]feed
 		unread   map[string]bool
 		// missing maps upstreams whose entries were deleted shortly after a feed
 		// failure to the time at which they are dropped.
@@ -174,8 +183,9 @@
 		known:      make(map[rows.ID]rows.Row),
 		missing:    make(map[string]time.Duration),
 		positions:  make(Positions),
+		wholeAt:    make(Positions),
 		required:   make(map[string]bool),
-		appliers:   make(map[string]func(found []rows.Row)),
+		feeds:      make(map[string]feed),
 		unread:     map[string]bool{peersAsked: true},
 		peers:      peers,
 		events:     events,
@@ -271,7 +281,7 @@
 
 func (w *Watcher) follow(f feed) {
 	w.mu.Lock()
-	w.appliers[f.table] = f.rows
+	w.feeds[f.table] = f
 	w.mu.Unlock()
 	w.group.Go(func(ctx context.Context) {
 		var version int64
@@ -334,12 +344,9 @@
 		if err != nil {
 			return 0, err
 		}
-		if known := w.position(f.table); newest < known {
-			return 0, errors.Annotatef(errOldRead, "version %d, known up to %d", newest, known)
+		if err := w.applyWhole(f, found, newest); err != nil {
+			return 0, err
 		}
-		w.markMissing(f.table, found, newest)
-		f.whole(found)
-		w.advance(f.table, newest)
 		f.fresh(start)
 		w.wasRead(f.table)
 		return newest, nil
@@ -354,9 +361,8 @@
 	if err != nil {
 		return 0, err
 	}
-	f.rows(w.unknown(page.Rows))
 	version = max(version, page.Version)
-	w.advance(f.table, version)
+	w.applyChanges(f, page.Rows, version)
 	f.fresh(start)
 	return version, nil
 }
@@ -476,11 +482,29 @@
 	return w.positions[table]
 }
 
-// advance records that all changes of the table up to the version were applied.
-func (w *Watcher) advance(table string, version int64) {
+// applyWhole applies all rows that a table had at the version, unless later ones are known.
+func (w *Watcher) applyWhole(f feed, found []rows.Row, version int64) error {
+	w.applying.Lock()
+	defer w.applying.Unlock()
+	if known := w.position(f.table); version < known {
+		return errors.Annotatef(errOldRead, "version %d, known up to %d", version, known)
+	}
+	w.markMissing(f.table, found, version)
+	f.whole(found)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.positions[f.table], w.wholeAt[f.table] = version, version
+	return nil
+}
+
+// applyChanges applies the rows of a table that changed up to the version.
+func (w *Watcher) applyChanges(f feed, found []rows.Row, version int64) {
+	w.applying.Lock()
+	defer w.applying.Unlock()
+	f.rows(w.unknown(found))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.positions[table] = max(w.positions[table], version)
+	w.positions[f.table] = max(w.positions[f.table], version)
 }
 
 // unknown returns the rows that are newer than what is known of their tables. An
