--- a/budget/broker.go
+++ b/budget/broker.go
@@ -17,7 +17,7 @@
 	// firstHomeWait is how long a program's home may take for a reservation at
 	// first, and homeWait once it has answered and waits for the store itself.
 	firstHomeWait = 30 * time.Millisecond
-	homeWait      = storeTimeout + 50*time.Millisecond
+	homeWait      = StoreTimeout + 50*time.Millisecond
 	// homeMargin is the time for the way to the home and back.
 	homeMargin = 20 * time.Millisecond
 	// minSettleInterval and maxSettleInterval bound the pauses between two messages
--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -197,7 +197,7 @@
 	f := newFleet(0, time.Hour)
 	defer f.close()
 	slow := &slowStore{Store: f.store, delay: 300 * time.Millisecond}
-	home := budget.NewLedger(hclog.NewNullLogger(), slow, f, "home#1", f.ledgerConfig())
+	home := budget.NewLedger(hclog.NewNullLogger(), slow, seat{f, "home#1"}, "home#1", f.ledgerConfig())
 	defer home.Close()
 	f.ledgers["home#1"] = home
 	f.setHome(home)
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,12 +1,16 @@
 // Package budget limits the number of tokens that a program may generate, over
 // all instances and restarts.
 //
-// A row of the store records how many tokens of a program's budget each instance
-// may hand out. An instance reserves an allocation before a turn starts and serves
-// later turns from what is left of it. An allocation counts as spent until its
-// holder returns unused tokens, so the sum never exceeds the budget, even if
-// holders fail. While the store is down, the program's home grants provisional
-// allocations, which are recorded in the store later.
+// A program's row in the store counts every allocation before it is handed out, and
+// counts it as spent until its holder returns unused tokens. While the store is down,
+// only the program's home grants anything, up to maxProvisional, and only to programs
+// that are certainly light and have lost no home: it holds no allocation of them and has
+// read the table of heavy programs since they were assigned to it. A row keeps room for
+// that maximum until the home has ended provisional allocations, reported all that it
+// granted and made the program heavy. A home that ends before its grants are in the rows
+// leaves a loss on the roster, and each row without an allocation of that home counts the
+// maximum as spent. So the sum stays within the budget and one turn, which covers what
+// holders that are lost may not have spent.
 package budget
 
 import (
@@ -55,15 +59,18 @@
 	// if another instance changed the row meanwhile, and the allocations for one
 	// turn.
 	maxTries = 6
-	// storeTimeout is how long a turn waits for a transaction before it requests a
+	// StoreTimeout is how long a turn waits for a transaction before it requests a
 	// provisional allocation; a transaction takes about 10 ms.
-	storeTimeout = 150 * time.Millisecond
+	StoreTimeout = 150 * time.Millisecond
 	// slowStoreTimeout bounds a transaction at a store that is only slow; requests
 	// have a few seconds.
 	slowStoreTimeout = 1500 * time.Millisecond
 	// storeDownTimeout is how long a turn waits for a store that is down if it gets
 	// no provisional allocation.
 	storeDownTimeout = 600 * time.Millisecond
+	// RecordInterval is the time between attempts to record provisional allocations in
+	// the store.
+	RecordInterval = 400 * time.Millisecond
 	// RecordDelay is the time after an outage within which homes and holders have
 	// recorded provisional allocations in the store; they retry every few hundred
 	// milliseconds.
@@ -90,8 +97,16 @@
 		// EndProvisionals asks the program's home to grant no further provisional
 		// allocations, and returns those so far, which may not be in the store yet.
 		EndProvisionals(ctx context.Context, program string) (Ended, error)
-		// Home returns the process that is the program's home.
-		Home(program string) string
+		// HomeSince returns since when this instance has been the program's home, if it
+		// is and all instances can know.
+		HomeSince(program string) (since time.Duration, ok bool)
+		// WasHome reports whether this instance is the program's home or was until the
+		// given time ago.
+		WasHome(program string, within time.Duration) bool
+		// Losses returns the processes that were lost in the earliest outage after which
+		// a home of the program may have been lost with provisional allocations that the
+		// row lacks. Only one of them was the home then.
+		Losses(program string) []string
 	}
 
 	// Config holds the settings of a ledger.
@@ -103,13 +118,18 @@
 		// interruption, this process' predecessors and peers included; 0 if it isn't or
 		// if that isn't known.
 		StoreReached func() time.Duration
-		// FirstStart is set if the whole deployment starts for the first time, so
-		// that no earlier process can have granted anything.
-		FirstStart bool
+		// HeavyReadAt returns up to when the table of heavy programs has been read.
+		HeavyReadAt func() time.Duration
 		// IdleTTL is the time after which an idle program's account may be dropped.
 		IdleTTL time.Duration
-		// RecordDelay is how long provisional allocations may be missing from the store.
+		// RecordDelay is how long provisional allocations may be missing from the store
+		// after an outage, and how long other instances may use a program's former home.
 		RecordDelay time.Duration
+		// StoreTimeout is how long a turn waits for a transaction before it requests a
+		// provisional allocation.
+		StoreTimeout time.Duration
+		// RecordInterval is the time between attempts to record them.
+		RecordInterval time.Duration
 	}
 
 	// Ledger manages this instance's allocations of all budgets. It is safe for
@@ -126,9 +146,6 @@
 		sequence int64
 		// backoffUntil is when the store is asked first again.
 		backoffUntil time.Duration
-		startedAt    time.Duration
-		// startedStoreDown is set if the store was down when the process started.
-		startedStoreDown bool
 		// draining is set once a planned stop has begun.
 		draining atomic.Bool
 		home     *home
@@ -163,17 +180,16 @@
 // name, which must be unique to the process. Close must be called.
 func NewLedger(log hclog.Logger, store rows.Store, peers Peers, holder string, config Config) *Ledger {
 	l := &Ledger{
-		log:       log,
-		store:     store,
-		peers:     peers,
-		holder:    holder,
-		config:    config,
-		accounts:  make(map[string]*account),
-		sweepAt:   minSweepAccounts,
-		home:      newHome(),
-		desk:      newDesk(),
-		group:     group.NewGroup(context.Background()),
-		startedAt: common.Uptime(),
+		log:      log,
+		store:    store,
+		peers:    peers,
+		holder:   holder,
+		config:   config,
+		accounts: make(map[string]*account),
+		sweepAt:  minSweepAccounts,
+		home:     newHome(),
+		desk:     newDesk(),
+		group:    group.NewGroup(context.Background()),
 	}
 	l.group.Go(l.recordProvisionals)
 	return l
@@ -209,7 +225,7 @@
 	}
 	waiting, cancel := context.WithTimeout(ctx, l.maxStoreWait())
 	defer cancel()
-	slow := time.NewTimer(storeTimeout)
+	slow := time.NewTimer(l.config.StoreTimeout)
 	defer slow.Stop()
 	for locked := false; !locked; {
 		select {
@@ -248,7 +264,7 @@
 	}
 	start := common.Uptime()
 	for {
-		err := await(ctx, extended, storeTimeout)
+		err := await(ctx, extended, l.config.StoreTimeout)
 		if !errors.Is(err, errStoreSlow) || ctx.Err() != nil {
 			return err
 		}
@@ -304,14 +320,6 @@
 	return common.Uptime() < l.backoffUntil
 }
 
-// startedWhileStoreDown reports whether the process started recently while the
-// store was down.
-func (l *Ledger) startedWhileStoreDown() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.startedStoreDown && common.Uptime() < l.startedAt+l.config.IdleTTL
-}
-
 func (l *Ledger) backOff() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -369,6 +377,9 @@
 func (l *Ledger) sweep(now time.Duration) {
 	for program, a := range l.accounts {
 		if a.reserved == 0 && a.returning == 0 && a.provisional == a.recorded && now-a.usedAt > l.config.IdleTTL {
+			if a.allocated {
+				l.home.markHeavy(program)
+			}
 			delete(l.accounts, program)
 		}
 	}
@@ -385,15 +396,6 @@
 	return true
 }
 
-// StoreLost records that the store is unreachable, so that provisional allocations
-// may be granted.
-func (l *Ledger) StoreLost() {
-	ready := l.Ready()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.startedStoreDown = l.startedStoreDown || !ready
-}
-
 func (l *Ledger) available(a *account) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -35,8 +37,22 @@
 	bookTime time.Duration
 	// forget is 0 if all instances have run for long.
 	forget time.Duration
-	// firstStart is set while processes of a new deployment start.
-	firstStart bool
+	// recordInterval is the time between attempts to record, if it is set.
+	recordInterval time.Duration
+	// homeSince is when the home became that, heavyReadAt up to when all instances have
+	// read the heavy programs; they always have if it is 0.
+	homeSince   time.Duration
+	heavyReadAt time.Duration
+	// homes are the processes that have been home, losses those of them that ended
+	// although they may have granted what the store lacks.
+	homes  map[string]bool
+	losses [][]string
+}
+
+// seat is a process' view of the fleet.
+type seat struct {
+	*fleet
+	holder string
 }
 
 // counter counts the transactions of one ledger.
@@ -74,19 +90,26 @@
 
 // newFleet returns a fleet with one process, which is the home of all programs.
 func newFleet(bookTime, forget time.Duration) *fleet {
-	f := &fleet{store: rows.NewMemory(), ledgers: make(map[string]*budget.Ledger), bookTime: bookTime, forget: forget}
+	f := emptyFleet(bookTime, forget)
 	f.setHome(f.start())
 	f.home.LoadHeavyPrograms(nil)
 	return f
 }
 
+func emptyFleet(bookTime, forget time.Duration) *fleet {
+	return &fleet{
+		store: rows.NewMemory(), ledgers: make(map[string]*budget.Ledger), homes: make(map[string]bool),
+		bookTime: bookTime, forget: forget,
+	}
+}
+
 // start adds a process and returns its ledger.
 func (f *fleet) start() *budget.Ledger {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
 	holder := fmt.Sprintf("front-%d#%d", f.started, f.started)
-	l := budget.NewLedger(hclog.NewNullLogger(), f.store, f, holder, f.ledgerConfig())
+	l := budget.NewLedger(hclog.NewNullLogger(), f.store, seat{f, holder}, holder, f.ledgerConfig())
 	f.ledgers[holder] = l
 	f.opened = append(f.opened, l)
 	return l
@@ -102,7 +125,15 @@
 			}
 			return common.Uptime() - max(started, time.Duration(f.awayAt.Load()))
 		},
-		FirstStart: f.firstStart, IdleTTL: f.forget, RecordDelay: f.bookTime,
+		HeavyReadAt: func() time.Duration {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.heavyReadAt == 0 {
+				return math.MaxInt64
+			}
+			return f.heavyReadAt
+		},
+		IdleTTL: f.forget, RecordDelay: f.bookTime, StoreTimeout: budget.StoreTimeout, RecordInterval: cmp.Or(f.recordInterval, budget.RecordInterval),
 	}
 }
 
@@ -110,9 +141,6 @@
 func (f *fleet) failStore() {
 	f.store.SetFault(rows.ErrNotDone, false)
 	f.away.Store(true)
-	for _, l := range f.opened {
-		l.StoreLost()
-	}
 }
 
 func (f *fleet) restoreStore() {
@@ -142,6 +170,29 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.ledgers, l.Holder())
+	if f.homes[l.Holder()] && (f.away.Load() || f.awayAt.Load() > 0) {
+		f.losses = append(f.losses, []string{l.Holder()})
+	}
+}
+
+func (s seat) HomeSince(string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.homeSince, s.home != nil && s.home.Holder() == s.holder
+}
+
+func (s seat) WasHome(program string, _ time.Duration) bool {
+	_, ok := s.HomeSince(program)
+	return ok
+}
+
+func (s seat) Losses(string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.losses) == 0 {
+		return nil
+	}
+	return s.losses[0]
 }
 
 func (f *fleet) Release(_ context.Context, holder, program string) (int, error) {
@@ -162,14 +213,6 @@
 	return home.EndProvisionals(program)
 }
 
-func (f *fleet) Home(string) string {
-	home := f.currentHome()
-	if home == nil {
-		return ""
-	}
-	return home.Holder()
-}
-
 // currentHome returns the home of all programs. Transactions that outlive their
 // request call it too.
 func (f *fleet) currentHome() *budget.Ledger {
@@ -181,7 +224,10 @@
 func (f *fleet) setHome(l *budget.Ledger) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.home = l
+	f.home, f.homeSince = l, common.Uptime()
+	if l != nil {
+		f.homes[l.Holder()] = true
+	}
 }
 
 func TestBudgetHoldsOverInstancesAndRestarts(t *testing.T) {
@@ -362,7 +408,7 @@
 			name: "a home that reaches the store advances nothing",
 			turn: func(t *testing.T, f *fleet) error {
 				cutOff := &slowStore{Store: f.store, delay: time.Hour}
-				l := budget.NewLedger(hclog.NewNullLogger(), cutOff, f, "front-9#9", f.ledgerConfig())
+				l := budget.NewLedger(hclog.NewNullLogger(), cutOff, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 				defer l.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -414,7 +460,7 @@
 	f := newFleet(0, time.Minute)
 	defer f.close()
 	counted := &counter{Store: f.store}
-	l := budget.NewLedger(hclog.NewNullLogger(), counted, f, "front-9#9", f.ledgerConfig())
+	l := budget.NewLedger(hclog.NewNullLogger(), counted, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 	defer l.Close()
 	for range 2 * 4 {
 		assert.NilError(t, l.Reserve(t.Context(), "p", total, maxTokens, 0))
@@ -431,7 +477,7 @@
 	f := newFleet(0, time.Minute)
 	defer f.close()
 	slow := &slowStore{Store: f.store, delay: 300 * time.Millisecond}
-	l := budget.NewLedger(hclog.NewNullLogger(), slow, f, "front-9#9", f.ledgerConfig())
+	l := budget.NewLedger(hclog.NewNullLogger(), slow, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 	defer l.Close()
 	for range total / maxTokens {
 		assert.NilError(t, l.Reserve(t.Context(), "p", total, maxTokens, 0))
@@ -528,21 +574,21 @@
 	assert.Assert(t, one.Reserve(t.Context(), "p", total, maxTokens, 0) != nil)
 }
 
-// Returned provisional tokens may be granted again if the home knows all provisional
-// allocations. If a restarted home may lack some, they stay spent.
+// Returned provisional tokens may be granted again. If a home was lost that may have
+// granted as many as any home may, these stay spent.
 func TestAdvanceThatIsGivenBack(t *testing.T) {
 	const total, maxTokens = 800, 100
 	tests := []struct {
 		name string
-		sure bool
+		lost bool
 		want int
 	}{
-		{name: "home from the first start", sure: true, want: total},
-		{name: "restarted home", sure: false, want: total - 2*maxTokens},
+		{name: "no home was lost", want: total},
+		{name: "a home was lost", lost: true, want: total - 2*maxTokens},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			f := &fleet{store: rows.NewMemory(), ledgers: make(map[string]*budget.Ledger), firstStart: tt.sure}
+			f := emptyFleet(0, 0)
 			f.setHome(f.start())
 			f.home.LoadHeavyPrograms(nil)
 			defer f.close()
@@ -551,6 +597,9 @@
 			// A provisional allocation of two turns of which none is used.
 			assert.NilError(t, one.Reserve(t.Context(), "p", total, maxTokens, 0))
 			one.Settle("p", maxTokens, 0)
+			if tt.lost {
+				f.losses = [][]string{{"front-8#8", "front-7#7"}}
+			}
 			f.restoreStore()
 			waitForProvisional(t, f.store)
 			handed := 0
@@ -578,13 +627,10 @@
 		// Closed before the store is reachable, it records nothing.
 		f.kill(first)
 		first.Close()
+		f.kill(f.home)
 		f.home.Close()
 		f.setHome(f.start())
 		next := f.start()
-		for _, l := range []*budget.Ledger{f.home, next} {
-			// The store is down when they start.
-			l.StoreLost()
-		}
 		f.restoreStore()
 		f.home.LoadHeavyPrograms(nil)
 		handed += spend(t, next, total, maxTokens)
@@ -647,11 +693,7 @@
 		total := maxTokens * rapid.IntRange(1, 9).Draw(t, "turns")
 		f := newFleet(budget.RecordDelay, time.Minute)
 		defer f.close()
-		f.firstStart = rapid.Bool().Draw(t, "first start")
-		f.setHome(f.start())
-		f.home.LoadHeavyPrograms(nil)
 		ledgers := []*budget.Ledger{f.start(), f.start()}
-		f.firstStart = false
 		handed := 0
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(ledgers)-1).Draw(t, "at")
--- a/budget/drain.go
+++ b/budget/drain.go
@@ -8,7 +8,6 @@
 
 	"github.com/juju/errors"
 
-	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
@@ -44,7 +43,7 @@
 // drained reports whether no reservation is open, and nothing is left to record or to
 // return.
 func (l *Ledger) drained() bool {
-	if len(l.home.unrecorded(common.Uptime())) > 0 || len(l.unrecordedAccounts()) > 0 || len(l.unused()) > 0 {
+	if !l.Recorded() || len(l.unused()) > 0 {
 		return false
 	}
 	l.mu.Lock()
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -25,9 +25,6 @@
 	endRequested bool
 	ended        Ended
 	homeErr      error
-	// mayLackProvisional is set if this process started while the store was down:
-	// no running process may know the provisional allocations of earlier ones.
-	mayLackProvisional bool
 	// reclaimed is set once the other holders were asked; freed are the tokens that
 	// they returned, holderLost is set if one of them was unreachable, inTransit if
 	// one of them has tokens in transit.
@@ -44,12 +41,7 @@
 // than one turn. So a row that has granted much only grants more once the home has
 // ended provisional allocations.
 func (l *Ledger) extend(ctx context.Context, a *account, program string, total, maxTokens int) error {
-	e := &extension{
-		program:            program,
-		maxTokens:          maxTokens,
-		mayLackProvisional: l.startedWhileStoreDown(),
-		freed:              make(map[string]int),
-	}
+	e := &extension{program: program, maxTokens: maxTokens, freed: make(map[string]int)}
 	grant := 0
 	fresh := a.row.Version == 0
 	r, err := l.update(ctx, program, total, &a.row, func(r *record, version int64) error {
@@ -104,9 +96,6 @@
 			*known = rows.Row{ID: known.ID}
 			return nil, errors.WithType(err, ErrUnavailable)
 		}
-		if known.Version == 0 {
-			r.Home = l.peers.Home(program)
-		}
 		wasHeavy, sequence := r.Heavy, r.Sequences[l.holder]
 		if err := change(r, known.Version); errors.Is(err, errStaleRow) {
 			*known = rows.Row{ID: known.ID}
@@ -138,7 +127,7 @@
 }
 
 // applyPending adds to the record what the row may lack: tokens that other holders
-// returned, and provisional allocations.
+// returned, provisional allocations, and those of homes that were lost.
 func (l *Ledger) applyPending(e *extension, r *record, a *account) {
 	for holder, n := range e.freed {
 		r.returnTokens(holder, n)
@@ -146,6 +135,7 @@
 	l.mu.Lock()
 	r.addProvisional(l.holder, a.provisional)
 	l.mu.Unlock()
+	r.addLoss(l.peers.Losses(e.program), maxProvisional(r.Total, e.maxTokens))
 	e.applyEnded(r)
 }
 
@@ -166,8 +156,8 @@
 	if !e.endRequested || e.homeErr != nil {
 		return
 	}
+	r.addLoss(e.ended.Losses, maxProvisional(r.Total, e.maxTokens))
 	r.Heavy = true
-	r.Verified = e.ended.Complete && r.Home == e.ended.Home
 	for holder, n := range e.ended.Holders {
 		r.addProvisional(holder, n)
 	}
@@ -182,7 +172,7 @@
 	}
 	l.log.Info("refused turn: the budget is spent", "program", e.program, "total", r.Total,
 		"granted", r.sum(), "returned", total(r.Returned), "needed", need, "rowVersion", version, "holderLost", e.holderLost,
-		"spender", r.Heavy, "vouched", r.Verified)
+		"heavy", r.Heavy, "lost", total(r.Lost))
 	return ErrSpent
 }
 
@@ -240,17 +230,12 @@
 // limit returns the maximum sum of the program's allocations, provisional ones
 // included.
 func (e *extension) limit(r *record) int {
-	switch {
-	case e.mayLackProvisional && len(r.Provisionals) == 0:
-		// Unrecorded provisional allocations may exceed the budget by one turn.
-		return r.Total - max(0, maxProvisional(r.Total, e.maxTokens)-e.maxTokens)
-	case e.holderLost:
-		// A failed holder most likely spent less than its allocation, so one turn
-		// beyond the budget is allowed.
+	if e.holderLost || len(r.Lost) > 0 {
+		// A failed holder most likely spent less than its allocation, and a lost home
+		// granted less than the maximum, so one turn beyond the budget is allowed.
 		return r.Total + e.maxTokens
-	default:
-		return r.Total
 	}
+	return r.Total
 }
 
 // grantable returns the tokens that may still be granted.
--- a/budget/home.go
+++ b/budget/home.go
@@ -25,9 +25,6 @@
 	// provisionalTurns is how many turns of maximum size one provisional allocation
 	// covers.
 	provisionalTurns = 2
-	// recordInterval is the time between attempts to record provisional allocations
-	// in the store.
-	recordInterval = 400 * time.Millisecond
 	// recordTimeout bounds one such attempt.
 	recordTimeout = time.Second
 	// provisionalTTL is how long recorded provisional allocations are kept in
@@ -95,20 +92,25 @@
 func maxProvisional(total, maxTokens int) int { return (total + 2*maxTokens) / provisionalDivisor }
 
 // GrantProvisional grants the holder a provisional allocation for a program whose home is
-// this instance. It grants none if the program is heavy, if this instance can't
-// know, or unless the store is down for all instances: a provisional allocation is
-// lost if home and holder both fail before it is recorded. It grants none either to
-// a program of which this instance holds an allocation: if that fails as well, the
-// turn that a lost allocation earns the program would come on top. Nor does it once
-// it stops, since it may not record it any more.
+// this instance. It grants none unless the store is down for all instances and the
+// program is certainly light: this instance holds no allocation of it and doesn't know it
+// as heavy, and has read of all programs that became heavy before they were assigned to
+// it. Nor does it once it stops, since it may not record it any more.
 func (l *Ledger) GrantProvisional(holder, program string, total, maxTokens int, now time.Duration) int {
-	if l.draining.Load() || l.allocated(program) {
+	if l.draining.Load() || l.allocated(program) || !l.config.StoreDown() {
+		return 0
+	}
+	if _, ok := l.peers.HomeSince(program); !ok {
+		return 0
+	}
+	if lost := l.peers.Losses(program); len(lost) > 0 {
+		l.log.Debug("no provisional allocation: a home of the program was lost", "program", program, "lost", lost)
 		return 0
 	}
 	h := l.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.ready || !l.config.StoreDown() || h.heavyPrograms[program] {
+	if !h.ready || h.heavyPrograms[program] {
 		return 0
 	}
 	a, ok := h.provisionals[program]
@@ -127,35 +129,48 @@
 }
 
 // EndProvisionals marks the program as heavy, so that it gets no further provisional
-// allocations, and returns those so far. It fails if this instance can't know them
-// all: an earlier process, or a temporary home of the program, may have granted
-// some, which their holders record soon after the store is reachable again.
+// allocations, and returns those so far, and the homes that may have granted others. It
+// fails if this instance isn't the program's home, or just after an outage: other homes
+// and holders record what they granted and received soon after it.
 func (l *Ledger) EndProvisionals(program string) (Ended, error) {
+	if !l.peers.WasHome(program, l.config.RecordDelay) {
+		return Ended{}, errors.Annotate(ErrUnavailable, "another instance is the program's home")
+	}
+	if reached := l.config.StoreReached(); reached < l.config.RecordDelay {
+		return Ended{}, errors.Annotatef(ErrUnavailable, "the store may have been down %s ago", reached)
+	}
+	losses := l.peers.Losses(program)
 	h := l.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.ready {
 		return Ended{}, errors.Annotate(ErrUnavailable, "the table of heavy programs isn't read yet")
 	}
-	if reached := l.config.StoreReached(); reached < l.config.RecordDelay {
-		return Ended{}, errors.Annotatef(ErrUnavailable, "the store may have been down %s ago", reached)
-	}
 	h.heavyPrograms[program] = true
-	ended := Ended{
-		Home:     l.holder,
-		Complete: l.config.FirstStart || common.Uptime() > l.startedAt+provisionalTTL,
-		Holders:  make(map[string]int),
-	}
+	ended := Ended{Holders: make(map[string]int), Losses: losses}
 	if a, ok := h.provisionals[program]; ok {
 		ended.Holders = maps.Clone(a.holders)
 	}
 	return ended, nil
 }
 
+// markHeavy excludes the program from provisional allocations of this process.
+func (h *home) markHeavy(program string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.heavyPrograms[program] = true
+}
+
+// Recorded reports whether the store has all provisional allocations that this instance
+// granted or received.
+func (l *Ledger) Recorded() bool {
+	return len(l.home.unrecorded(common.Uptime())) == 0 && len(l.unrecordedAccounts()) == 0
+}
+
 // recordProvisionals writes provisional allocations to the programs' rows once the
 // store is reachable.
 func (l *Ledger) recordProvisionals(ctx context.Context) {
-	for group.Sleep(ctx, recordInterval) {
+	for group.Sleep(ctx, l.config.RecordInterval) {
 		l.recordAll(ctx)
 	}
 }
--- a/budget/lost_test.go
+++ b/budget/lost_test.go
@@ -53,7 +53,7 @@
 		handed += tokens
 	}
 	lossy := &overtakenStore{Store: f.store}
-	l := budget.NewLedger(hclog.NewNullLogger(), lossy, f, "front-9#9", f.ledgerConfig())
+	l := budget.NewLedger(hclog.NewNullLogger(), lossy, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 	defer l.Close()
 	f.ledgers[l.Holder()] = l
 	lossy.overtake = func() { handed += spend(t, third, total, maxTokens) }
@@ -112,7 +112,7 @@
 	f := newFleet(0, time.Hour)
 	defer f.close()
 	late := &lateStore{Store: f.store, delay: 100 * time.Millisecond}
-	holder := budget.NewLedger(hclog.NewNullLogger(), late, f, "front-9#9", f.ledgerConfig())
+	holder := budget.NewLedger(hclog.NewNullLogger(), late, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 	defer holder.Close()
 	f.ledgers[holder.Holder()] = holder
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
--- a/budget/message.go
+++ b/budget/message.go
@@ -83,12 +83,10 @@
 
 	// Ended has all provisional allocations of a program that gets no further ones.
 	Ended struct {
-		// Home is the process that ended them.
-		Home string `json:"home"`
-		// Complete is set if no earlier process of the instance can have granted any.
-		Complete bool `json:"sure"`
 		// Holders are the sums by holder.
 		Holders map[string]int `json:"holders"`
+		// Losses are the processes of which one may have granted others before.
+		Losses []string `json:"losses,omitempty"`
 	}
 )
 
--- a/budget/record.go
+++ b/budget/record.go
@@ -24,13 +24,10 @@
 	Provisionals map[string]int `json:"advances,omitempty"`
 	// Returned are the provisional tokens that holders returned.
 	Returned map[string]int `json:"returned,omitempty"`
-	// Home is the process that was the program's home when the row was first
-	// written.
-	Home string `json:"home,omitempty"`
-	// Heavy is set if the program is in the table of heavy programs, Verified if its
-	// home certainly knew all its provisional allocations then.
-	Heavy    bool `json:"spender,omitempty"`
-	Verified bool `json:"vouched,omitempty"`
+	// Lost are the tokens that homes which were lost may have granted in addition.
+	Lost map[string]int `json:"lost,omitempty"`
+	// Heavy is set if the program is in the table of heavy programs.
+	Heavy bool `json:"spender,omitempty"`
 	// Writer makes each written value unique.
 	Writer string `json:"writer"`
 	// Sequences are the numbers of the holders' last transactions that granted or
@@ -38,15 +35,9 @@
 	Sequences map[string]int64 `json:"sequences,omitempty"`
 }
 
-// sum returns the tokens that count as spent. Returned provisional tokens are only
-// subtracted if no provisional allocation can be missing: before the program is
-// heavy, when another one of maximum size still fits, or if its home verified all.
+// sum returns the tokens that count as spent.
 func (r *record) sum() int {
-	sum := total(r.Allocations) + total(r.Provisionals)
-	if !r.Heavy || r.Verified {
-		sum -= total(r.Returned)
-	}
-	return sum
+	return total(r.Allocations) + total(r.Provisionals) - total(r.Returned) + total(r.Lost)
 }
 
 func total(tokens map[string]int) int {
@@ -95,6 +86,24 @@
 	r.Provisionals[holder] = sum
 }
 
+// addLoss counts the tokens as spent that one of the lost processes may have granted as
+// the home. A heavy program gets no provisional allocations, nor does one that the home
+// has an allocation of.
+func (r *record) addLoss(homes []string, tokens int) {
+	counted := slices.ContainsFunc(homes, func(home string) bool { return r.Lost[home] > 0 })
+	granted := slices.ContainsFunc(homes, func(home string) bool {
+		_, allocated := r.Allocations[home]
+		return !allocated
+	})
+	if r.Heavy || counted || !granted {
+		return
+	}
+	if r.Lost == nil {
+		r.Lost = make(map[string]int)
+	}
+	r.Lost[homes[0]] = tokens
+}
+
 // setSequence sets the number of the holder's transaction.
 func (r *record) setSequence(holder string, sequence int64) {
 	if r.Sequences == nil {
@@ -126,7 +135,7 @@
 	if r.Writer == "" {
 		return errors.New("the row is no record of a budget")
 	}
-	for _, tokens := range []map[string]int{r.Allocations, r.Provisionals, r.Returned} {
+	for _, tokens := range []map[string]int{r.Allocations, r.Provisionals, r.Returned, r.Lost} {
 		for holder, n := range tokens {
 			if n < 0 || n > maxRecordTokens {
 				return errors.Errorf("holder %q has %d tokens", holder, n)
--- a/budget/record_test.go
+++ b/budget/record_test.go
@@ -35,7 +35,7 @@
 // homeOnly are peers that a ledger with a working store asks for a program's home.
 type homeOnly struct{ Peers }
 
-func (homeOnly) Home(string) string { return "one" }
+func (homeOnly) Losses(string) []string { return nil }
 
 // A program goes on once its row is a record again.
 func TestProgramGoesOnAfterAnOddRecord(t *testing.T) {
@@ -44,7 +44,7 @@
 		_, err := store.Commit(t.Context(), rows.Txn{Writes: []rows.Write{{ID: rowID(program), Value: []byte(value)}}})
 		assert.NilError(t, err)
 	}
-	ledger := NewLedger(hclog.NewNullLogger(), store, homeOnly{}, "one", Config{IdleTTL: time.Minute, StoreDown: func() bool { return false }})
+	ledger := NewLedger(hclog.NewNullLogger(), store, homeOnly{}, "one", Config{IdleTTL: time.Minute, StoreTimeout: StoreTimeout, RecordInterval: RecordInterval, StoreDown: func() bool { return false }})
 	t.Cleanup(ledger.Close)
 	for i, odd := range []string{"null", "[]", `{"total":"100","writer":"w"}`} {
 		program := fmt.Sprint("p", i)
--- a/budget/stop_test.go
+++ b/budget/stop_test.go
@@ -85,7 +85,7 @@
 	f := newFleet(0, time.Hour)
 	defer f.close()
 	slow := &slowStore{Store: f.store, delay: 100 * time.Millisecond}
-	stopping := budget.NewLedger(hclog.NewNullLogger(), slow, f, "front-9#9", f.ledgerConfig())
+	stopping := budget.NewLedger(hclog.NewNullLogger(), slow, seat{f, "front-9#9"}, "front-9#9", f.ledgerConfig())
 	defer stopping.Close()
 	f.ledgers[stopping.Holder()] = stopping
 	for range total / maxTokens {
--- a/front/front.go
+++ b/front/front.go
@@ -129,18 +129,20 @@
 	f.conns = peer.NewConns(f.common.Metrics)
 	f.peers = peers.NewClient(log.Named("mates"), f.roster, f.conns, settings.Seeds)
 	f.store = bypass.NewStore(f.direct, f.peers, func() bool { return f.watcher.StoreDown() })
-	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, peers.HolderName(f.roster.Self()),
+	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, f.roster.Self().HolderName(),
 		budget.Config{
-			StoreDown:    func() bool { return f.watcher.StoreDown() },
-			StoreReached: func() time.Duration { return f.watcher.Reached() },
-			FirstStart:   settings.FirstStart,
-			IdleTTL:      idleBudgetTTL,
-			RecordDelay:  budget.RecordDelay,
+			StoreDown:      func() bool { return f.watcher.StoreDown() },
+			StoreReached:   func() time.Duration { return f.watcher.Reached() },
+			HeavyReadAt:    func() time.Duration { return f.watcher.ReadAt(budget.HeavyTable) },
+			IdleTTL:        idleBudgetTTL,
+			RecordDelay:    budget.RecordDelay,
+			StoreTimeout:   budget.StoreTimeout,
+			RecordInterval: budget.RecordInterval,
 		})
 	f.peers.Serve(f.ledger)
 	f.broker = budget.NewBroker(log.Named("budget"), f.ledger, f.peers)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
-		watch.Events{Works: f.store.ResetBackoff, Lost: f.storeLost})
+		watch.Events{Works: f.store.ResetBackoff, Lost: f.store.SetLost})
 	if settings.FirstStart {
 		f.watcher.FirstStart()
 	}
@@ -152,7 +154,7 @@
 		StoreLost:  f.store.Lost,
 	})
 	f.streams = resume.NewTracker(log.Named("resume"), f.store, f.watcher, f.common.Metrics,
-		resume.Config{Process: peers.HolderName(f.roster.Self()), Instances: f.peers.Instances, StoreWriteRate: settings.StoreWriteRate})
+		resume.Config{Process: f.roster.Self().HolderName(), Instances: f.peers.Instances, StoreWriteRate: settings.StoreWriteRate})
 	f.proxy = proxy.NewProxy(proxy.Deps{
 		Log:       log.Named("gate"),
 		Metrics:   f.common.Metrics,
@@ -172,12 +174,6 @@
 	return f, nil
 }
 
-// storeLost is called whenever a call of the store for the operator's table fails.
-func (f *Front) storeLost() {
-	f.ledger.StoreLost()
-	f.store.SetLost()
-}
-
 // Reload applies changed settings. Names and addresses keep their values from the
 // start of the process.
 func (f *Front) Reload(settings conf.FrontSettings) {
--- a/front/roster.go
+++ b/front/roster.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/roster"
@@ -23,12 +25,20 @@
 	// of programs before it registers all the same.
 	homeReadyTime     = 150 * time.Millisecond
 	homeReadyInterval = 5 * time.Millisecond
+	// registerInterval is the time between attempts to register.
+	registerInterval = 50 * time.Millisecond
+	// calmTime is how long the store must have been reachable so that a process that
+	// has ended since has recorded what it granted in outages: instances that are dead
+	// for longer are removed from the roster.
+	calmTime = 15 * time.Second
 )
 
 func (f *Front) replaceRoster(found []rows.Row) {
 	entries := make([]roster.Entry, 0, len(found))
 	for _, r := range found {
-		if e, ok := f.decodeEntry(r); ok {
+		if roster.IsLoss(r) {
+			f.applyLoss(r)
+		} else if e, ok := f.decodeEntry(r); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -37,9 +47,25 @@
 }
 
 func (f *Front) applyRosterRows(found []rows.Row) {
+	// Losses come first: the names of a lost instance move as its row is applied.
+	for _, r := range found {
+		if roster.IsLoss(r) {
+			f.applyLoss(r)
+		}
+	}
 	for _, r := range found {
-		f.applyRosterRow(r)
+		if !roster.IsLoss(r) {
+			f.applyRosterRow(r)
+		}
+	}
+}
+
+func (f *Front) applyLoss(r rows.Row) {
+	if err := f.roster.SetLoss(r); err != nil {
+		f.log.Warn("invalid loss on the roster", "key", r.Key, "error", err)
+		return
 	}
+	f.log.Info("instance lost; grants that only it knew count as spent", "key", r.Key, "expired", r.Deleted, "rowVersion", r.Version)
 }
 
 func (f *Front) applyRosterRow(r rows.Row) {
@@ -82,18 +108,74 @@
 	f.register(ctx)
 }
 
-// register adds this instance to the roster.
+// register adds this instance to the roster, in place of an earlier process' row.
 func (f *Front) register(ctx context.Context) {
-	txn, err := f.roster.Registration()
+	for {
+		err := f.registerOnce(ctx)
+		if err == nil {
+			f.roster.MarkListed()
+			return
+		}
+		if !errors.Is(err, rows.ErrConflict) {
+			f.log.Warn("registration on the roster failed", "error", err)
+		}
+		if !group.Sleep(ctx, registerInterval) {
+			return
+		}
+	}
+}
+
+func (f *Front) registerOnce(ctx context.Context) error {
+	row, err := f.ownRow(ctx)
 	if err != nil {
-		f.log.Error("cannot encode the instance's roster entry", "error", err)
-		return
+		return err
 	}
-	if _, err := rows.CommitUntilKnown(ctx, f.store, txn); err != nil {
-		f.log.Warn("registration on the roster failed", "error", err)
-		return
+	lost := f.predecessorLoss(row)
+	txn, err := f.roster.Registration(row, lost)
+	if err != nil {
+		return err
+	}
+	version, err := rows.CommitUntilKnown(ctx, f.store, txn)
+	if err != nil {
+		return err
+	}
+	for _, w := range txn.Writes {
+		if r := (rows.Row{ID: w.ID, Value: w.Value, Version: version}); roster.IsLoss(r) {
+			f.applyLoss(r)
+		}
 	}
-	f.roster.MarkListed()
+	return nil
+}
+
+// ownRow returns this instance's row of the roster, with version 0 if there is none.
+func (f *Front) ownRow(ctx context.Context) (rows.Row, error) {
+	page, err := f.store.Range(ctx, f.roster.Own())
+	if err != nil {
+		return rows.Row{}, err
+	}
+	if len(page.Rows) == 0 || page.Rows[0].Key != f.settings.Instance {
+		return rows.Row{}, nil
+	}
+	return page.Rows[0], nil
+}
+
+// predecessorLoss returns the loss of the earlier process that wrote this instance's row
+// and ended without removing it, unless there was no outage for so long that it has
+// recorded all that it granted.
+func (f *Front) predecessorLoss(row rows.Row) *roster.Loss {
+	reached := f.watcher.Reached()
+	if row.Version == 0 || reached >= calmTime {
+		return nil
+	}
+	e, err := roster.Decode(row)
+	if err != nil {
+		f.log.Warn("invalid roster entry of an earlier process", "error", err)
+		e = roster.Entry{Name: f.settings.Instance}
+	}
+	if e.Start == f.roster.Self().Start {
+		return nil
+	}
+	return roster.NewLoss(e, reached)
 }
 
 // leave marks this instance as leaving, so that the others no longer count on it as
@@ -105,14 +187,11 @@
 }
 
 func (f *Front) markLeaving(ctx context.Context) error {
-	page, err := f.store.Range(ctx, f.roster.Own())
-	if err != nil {
+	row, err := f.ownRow(ctx)
+	if err != nil || row.Version == 0 {
 		return err
 	}
-	if len(page.Rows) == 0 || page.Rows[0].Key != f.settings.Instance {
-		return nil
-	}
-	txn, err := f.roster.Departure(page.Rows[0])
+	txn, err := f.roster.Departure(row)
 	if err != nil {
 		return err
 	}
@@ -134,8 +213,22 @@
 		}
 		after := max(lostTimeout, time.Duration(f.reloadable.Load().KeyRevocation)+lostMargin)
 		for _, name := range f.roster.Unreachable(common.Uptime(), after) {
-			_, err := f.direct.Commit(ctx, f.roster.Removal(name))
-			f.log.Warn("instance unreachable; removing it from the roster", "instance", name, "error", err)
+			f.log.Warn("instance unreachable; removing it from the roster", "instance", name, "error", f.removeAsLost(ctx, name))
 		}
 	}
 }
+
+// removeAsLost removes an instance that may still run, or have granted budgets that no
+// other instance knows.
+func (f *Front) removeAsLost(ctx context.Context, name string) error {
+	e, known := f.roster.Find(name)
+	if !known {
+		return nil
+	}
+	txn, err := f.roster.RemovalOf(roster.NewLoss(e, f.watcher.Reached()))
+	if err != nil {
+		return err
+	}
+	_, err = f.direct.Commit(ctx, txn)
+	return err
+}
--- a/front/stop.go
+++ b/front/stop.go
@@ -79,8 +79,13 @@
 	unsettled := f.settleBudgets(max(time.Until(start.Add(plan.answer)), plan.settle))
 	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), plan.deregister)
 	defer cancelDeregister()
-	_, removeErr := rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal(f.settings.Instance))
-	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled)
+	var removeErr error
+	recorded := f.ledger.Recorded()
+	if recorded {
+		_, removeErr = rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal())
+	}
+	// Otherwise the row stays, so that whoever replaces it records the loss.
+	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled, "provisionalsRecorded", recorded)
 }
 
 // settleBudgets ends the turns' reservations at the programs' homes and drains the
--- a/peers/home.go
+++ b/peers/home.go
@@ -48,7 +48,7 @@
 		// Nothing was sent.
 		return nil, "", err
 	}
-	return reply, HolderName(home), err
+	return reply, home.HolderName(), err
 }
 
 // SettleAt ends a reservation at the process with the holder name, or does nothing
@@ -63,8 +63,19 @@
 	return err
 }
 
-// Home returns the holder name of the process that the program is assigned to.
-func (m *Client) Home(program string) string { return HolderName(m.roster.First(program)) }
+// HomeSince returns since when this instance has been the program's home, if it is and
+// the store lists this instance.
+func (m *Client) HomeSince(program string) (time.Duration, bool) { return m.roster.FirstSince(program) }
+
+// WasHome reports whether this instance is the program's home or was until the given
+// time ago.
+func (m *Client) WasHome(program string, within time.Duration) bool {
+	return m.roster.Listed() && (m.IsHome(program) || common.Uptime()-m.roster.ChangedAt() < within)
+}
+
+// Losses returns the processes that were lost in the earliest outage after which a home
+// of the program may have been lost.
+func (m *Client) Losses(program string) []string { return m.roster.Losses(program) }
 
 // callHome sends the request to the program's home, or calls local if this
 // instance is the home.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -6,7 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -85,10 +84,6 @@
 // called before the first call to a peer.
 func (m *Client) Serve(ledger *budget.Ledger) { m.ledger = ledger }
 
-// HolderName returns the name of one incarnation of an instance as a holder of
-// allocations.
-func HolderName(e roster.Entry) string { return e.Name + "#" + strconv.FormatInt(e.Start, 10) }
-
 // Release makes a holder give up the tokens of a program's allocation that it
 // doesn't need, and returns their number.
 func (m *Client) Release(ctx context.Context, holder, program string) (int, error) {
@@ -113,7 +108,7 @@
 func (m *Client) holder(name string) (roster.Entry, error) {
 	instance, _, _ := strings.Cut(name, "#")
 	e, ok := m.roster.Find(instance)
-	if !ok || HolderName(e) != name {
+	if !ok || e.HolderName() != name {
 		return roster.Entry{}, errHolderGone
 	}
 	return e, nil
--- /dev/null
+++ b/roster/loss.go
@@ -0,0 +1,234 @@
+package roster
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/rows"
+)
+
+const (
+	// lossPrefix begins the keys of losses in the table of instances.
+	lossPrefix = "lost/"
+	// lossTTL is how long a loss counts for programs.
+	lossTTL = 10 * time.Minute
+	// maxExpired bounds the old losses that one registration removes.
+	maxExpired = 20
+	// homeRanks is how many instances of a name's order may have been its home, if
+	// those before them were away.
+	homeRanks = 3
+	// outageMargin is the time around the end of an outage within which instances find
+	// the store reachable again.
+	outageMargin = 3 * time.Second
+	// outageGap is the time between losses from which they are of different outages: an
+	// instance that starts after one grants nothing before it has read the store.
+	outageGap = 2 * time.Second
+	// departureTTL is how long departures are remembered.
+	departureTTL = time.Minute
+)
+
+type (
+	// Loss is a process that has ended, or was given up, although it may have granted
+	// what no other process knows.
+	Loss struct {
+		Entry
+		// At is when the loss was noticed, OutageEnd the last time at which the store may
+		// have been unreachable, both in Unix milliseconds.
+		At        int64 `json:"at"`
+		OutageEnd int64 `json:"outageEnd"`
+	}
+
+	// departure is an instance that names may have moved away from.
+	departure struct {
+		name string
+		at   time.Duration
+	}
+)
+
+// HolderName returns the name of one incarnation of an instance.
+func (e Entry) HolderName() string { return e.Name + "#" + strconv.FormatInt(e.Start, 10) }
+
+// Registration returns the transaction that adds this instance to the list in place of
+// the row that it has there, which has version 0 if there is none. If lost is set, the
+// process of that row is recorded as lost.
+func (r *Roster) Registration(row rows.Row, lost *Loss) (rows.Txn, error) {
+	own := r.self
+	own.Since = time.Now().UnixMilli()
+	value, err := json.Marshal(own)
+	if err != nil {
+		return rows.Txn{}, errors.Trace(err)
+	}
+	txn := rows.Txn{
+		Expect:  []rows.Expectation{{ID: rowID(own.Name), Version: row.Version}},
+		Writes:  []rows.Write{{ID: rowID(own.Name), Value: value}},
+		Removes: r.expiredLosses(),
+	}
+	return addLoss(txn, lost)
+}
+
+// Removal returns the transaction that removes this instance from the list at the end of
+// a planned stop.
+func (r *Roster) Removal() rows.Txn { return rows.Txn{Removes: []rows.ID{rowID(r.self.Name)}} }
+
+// RemovalOf returns the transaction that removes another instance that can't be reached.
+func (r *Roster) RemovalOf(lost *Loss) (rows.Txn, error) {
+	return addLoss(rows.Txn{Removes: []rows.ID{rowID(lost.Name)}}, lost)
+}
+
+func addLoss(txn rows.Txn, lost *Loss) (rows.Txn, error) {
+	if lost == nil {
+		return txn, nil
+	}
+	value, err := json.Marshal(lost)
+	if err != nil {
+		return rows.Txn{}, errors.Trace(err)
+	}
+	txn.Writes = append(txn.Writes, rows.Write{ID: rowID(lossPrefix + lost.HolderName()), Value: value})
+	return txn, nil
+}
+
+// NewLoss returns the loss of the entry's process, if the store has been reachable for
+// the given time.
+func NewLoss(e Entry, reached time.Duration) *Loss {
+	now := time.Now()
+	return &Loss{Entry: e, At: now.UnixMilli(), OutageEnd: now.Add(-reached).UnixMilli()}
+}
+
+// IsLoss reports whether the row of the table is a loss instead of an instance.
+func IsLoss(row rows.Row) bool { return strings.HasPrefix(row.Key, lossPrefix) }
+
+// SetLoss adds a loss or, if its row was deleted, removes it.
+func (r *Roster) SetLoss(row rows.Row) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if row.Deleted {
+		delete(r.losses, row.Key)
+		return nil
+	}
+	var l Loss
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		return errors.Trace(err)
+	}
+	r.losses[row.Key] = l
+	return nil
+}
+
+func (r *Roster) expiredLosses() []rows.ID {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var found []rows.ID
+	for key, l := range r.losses {
+		if l.expired(time.Now()) && len(found) < maxExpired {
+			found = append(found, rowID(key))
+		}
+	}
+	return found
+}
+
+func (l Loss) expired(now time.Time) bool { return now.Sub(time.UnixMilli(l.At)) > lossTTL }
+
+// Losses returns the processes that were lost in the earliest outage after which a home
+// of the name may have been lost. Only one of them was the home then, as registrations
+// need the store.
+func (r *Roster) Losses(name string) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if len(r.losses) == 0 {
+		return nil
+	}
+	now := time.Now()
+	var all []Loss
+	for _, l := range r.losses {
+		if !l.expired(now) {
+			all = append(all, l)
+		}
+	}
+	slices.SortFunc(all, func(a, b Loss) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.HolderName(), b.HolderName()))
+	})
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && all[n].At-all[n-1].At <= outageGap.Milliseconds() {
+			n++
+		}
+		if homes := r.homesAmong(name, all[:n]); len(homes) > 0 {
+			return homes
+		}
+		all = all[n:]
+	}
+	return nil
+}
+
+// homesAmong returns those of the processes lost in one outage that may have been the
+// home of the name.
+func (r *Roster) homesAmong(name string, lost []Loss) []string {
+	byName := make(map[string][]Loss)
+	candidates := make(map[string]Entry, len(r.entries)+len(lost))
+	for n, e := range r.entries {
+		candidates[n] = e
+	}
+	end := lost[0].OutageEnd
+	for _, l := range lost {
+		byName[l.Name] = append(byName[l.Name], l)
+		candidates[l.Name] = l.Entry
+		end = min(end, l.OutageEnd)
+	}
+	ranked := make([]Entry, 0, len(candidates))
+	for _, e := range candidates {
+		ranked = append(ranked, e)
+	}
+	slices.SortFunc(ranked, func(a, b Entry) int {
+		return cmp.Compare(common.RendezvousScore(b.Name, name), common.RendezvousScore(a.Name, name))
+	})
+	var homes []string
+	for _, e := range ranked[:min(homeRanks, len(ranked))] {
+		for _, l := range byName[e.Name] {
+			homes = append(homes, l.HolderName())
+		}
+		if !e.Leaving && e.Since > 0 && e.Since < end-outageMargin.Milliseconds() {
+			// It was there during the outage.
+			break
+		}
+	}
+	return homes
+}
+
+// depart records that names may have moved away from an instance. The caller holds the
+// lock.
+func (r *Roster) depart(name string) {
+	now := common.Uptime()
+	r.departures = slices.DeleteFunc(r.departures, func(d departure) bool { return now-d.at > departureTTL })
+	r.departures = append(r.departures, departure{name: name, at: now})
+}
+
+// FirstSince returns since when the name has been assigned to this instance; ok is false
+// if it isn't, or if the store doesn't list this instance.
+func (r *Roster) FirstSince(name string) (since time.Duration, ok bool) {
+	if r.First(name).Name != r.self.Name {
+		return 0, false
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	own := common.RendezvousScore(r.self.Name, name)
+	since = r.listedAt
+	for _, d := range r.departures {
+		if d.at > since && common.RendezvousScore(d.name, name) > own {
+			since = d.at
+		}
+	}
+	return since, r.listed
+}
+
+// ChangedAt returns when names were last assigned anew.
+func (r *Roster) ChangedAt() time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.changedAt
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,12 +1,14 @@
 // Package roster holds the list of instances and assigns names to them by
 // rendezvous hashing. Each instance registers a row in the store when it starts
 // and removes it at a planned stop; peers remove the rows of unreachable
-// instances.
+// instances. Where the process of a row may have granted what no other knows,
+// whoever replaces or removes the row records its loss in the same transaction.
 package roster
 
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -51,6 +53,8 @@
 		FailureDomain string `json:"failureDomain"`
 		// Start identifies the incarnation of the instance.
 		Start int64 `json:"start"`
+		// Since is when the row was written first, in Unix milliseconds.
+		Since int64 `json:"since,omitempty"`
 		// Leaving is set during a planned stop: the instance still answers, but is
 		// not the first for any name.
 		Leaving bool `json:"leaving,omitempty"`
@@ -67,7 +71,14 @@
 		// instances assign alike.
 		listed bool
 		// leaving is set while that row says so.
-		leaving  bool
+		leaving bool
+		// listedAt is when this instance was listed, changedAt when names were last
+		// assigned anew; departures are the instances that names moved away from.
+		listedAt   time.Duration
+		changedAt  time.Duration
+		departures []departure
+		// losses are the processes that were lost, by the keys of their rows.
+		losses   map[string]Loss
 		failures map[string]failure
 		// ranks caches this instance's ranks by name, and leaders the first instances
 		// by name, until the list changes.
@@ -90,6 +101,7 @@
 	return &Roster{
 		self:     self,
 		entries:  map[string]Entry{self.Name: self},
+		losses:   make(map[string]Loss),
 		failures: make(map[string]failure),
 		ranks:    make(map[string]int),
 		leaders:  make(map[string][]Entry),
@@ -99,15 +111,6 @@
 // Self returns this instance's entry.
 func (r *Roster) Self() Entry { return r.self }
 
-// Registration returns the transaction that adds this instance to the list.
-func (r *Roster) Registration() (rows.Txn, error) {
-	value, err := json.Marshal(r.self)
-	if err != nil {
-		return rows.Txn{}, err
-	}
-	return rows.Txn{Writes: []rows.Write{{ID: rowID(r.self.Name), Value: value}}}, nil
-}
-
 // Own returns the query for this instance's row.
 func (r *Roster) Own() rows.Query {
 	return rows.Query{Table: Table, From: r.self.Name, Limit: 1}
@@ -116,7 +119,10 @@
 // Departure returns the transaction that marks this instance as leaving in its row.
 // It does nothing once the row was removed or written again, however late it comes.
 func (r *Roster) Departure(row rows.Row) (rows.Txn, error) {
-	e := r.self
+	e, err := Decode(row)
+	if err != nil {
+		return rows.Txn{}, err
+	}
 	e.Leaving = true
 	value, err := json.Marshal(e)
 	if err != nil {
@@ -128,11 +134,6 @@
 	}, nil
 }
 
-// Removal returns the transaction that removes the instance from the list.
-func (r *Roster) Removal(name string) rows.Txn {
-	return rows.Txn{Removes: []rows.ID{rowID(name)}}
-}
-
 // Set adds or replaces an entry and reports whether that changes the list. This
 // instance's own keeps its values.
 func (r *Roster) Set(e Entry) bool {
@@ -141,17 +142,33 @@
 	if e.Name == r.self.Name {
 		leaving := r.isLeaving(e)
 		changed := !r.listed || r.leaving != leaving
-		r.listed, r.leaving = true, leaving
+		r.setOwn(true, leaving)
 		return changed
 	}
-	if r.entries[e.Name] == e {
+	old, known := r.entries[e.Name]
+	if old == e {
 		return false
 	}
+	if known && e.Leaving && !old.Leaving {
+		r.depart(e.Name)
+	}
 	r.entries[e.Name] = e
 	r.rebuild()
 	return true
 }
 
+// setOwn records what the store's row says of this instance. The caller holds the lock.
+func (r *Roster) setOwn(listed, leaving bool) {
+	if listed == r.listed && leaving == r.leaving {
+		return
+	}
+	r.changedAt = common.Uptime()
+	if listed && !r.listed {
+		r.listedAt = r.changedAt
+	}
+	r.listed, r.leaving = listed, leaving
+}
+
 // isLeaving reports whether the entry marks this incarnation as leaving, rather than
 // an earlier one.
 func (r *Roster) isLeaving(own Entry) bool { return own.Leaving && own.Start == r.self.Start }
@@ -179,9 +196,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if name == r.self.Name {
-		r.listed = false
+		r.setOwn(false, false)
 		return true
 	}
+	if _, known := r.entries[name]; known {
+		r.depart(name)
+	}
 	delete(r.entries, name)
 	delete(r.failures, name)
 	r.rebuild()
@@ -192,17 +212,24 @@
 func (r *Roster) Replace(entries []Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	before := maps.Clone(r.entries)
 	clear(r.entries)
 	for _, e := range entries {
 		r.entries[e.Name] = e
 	}
 	own, listed := r.entries[r.self.Name]
-	r.listed, r.leaving = listed, r.isLeaving(own)
+	r.setOwn(listed, r.isLeaving(own))
 	r.entries[r.self.Name] = r.self
+	for name, old := range before {
+		if e, known := r.entries[name]; !known || e.Leaving && !old.Leaving {
+			r.depart(name)
+		}
+	}
 	r.rebuild()
 }
 
 func (r *Roster) rebuild() {
+	r.changedAt = common.Uptime()
 	r.others = make([]Entry, 0, len(r.entries))
 	for name, e := range r.entries {
 		if name != r.self.Name {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -89,8 +89,8 @@
 // A mark that comes late must not bring the row of an instance back that has left.
 func TestLateDepartureDoesNothing(t *testing.T) {
 	store := rows.NewMemory()
-	r := roster.NewRoster(roster.Entry{Name: "a", Start: 7})
-	txn, err := r.Registration()
+	r := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 7})
+	txn, err := r.Registration(rows.Row{}, nil)
 	assert.NilError(t, err)
 	_, err = store.Commit(t.Context(), txn)
 	assert.NilError(t, err)
@@ -98,7 +98,7 @@
 	assert.NilError(t, err)
 	departure, err := r.Departure(page.Rows[0])
 	assert.NilError(t, err)
-	_, err = store.Commit(t.Context(), r.Removal("a"))
+	_, err = store.Commit(t.Context(), r.Removal())
 	assert.NilError(t, err)
 	_, err = store.Commit(t.Context(), departure)
 	assert.ErrorIs(t, err, rows.ErrConflict)
@@ -106,10 +106,12 @@
 
 func TestRegistrationRoundTrip(t *testing.T) {
 	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
-	txn, err := roster.NewRoster(e).Registration()
+	txn, err := roster.NewRoster(e).Registration(rows.Row{}, nil)
 	assert.NilError(t, err)
 	got, err := roster.Decode(rows.Row{ID: txn.Writes[0].ID, Value: txn.Writes[0].Value})
 	assert.NilError(t, err)
+	assert.Assert(t, got.Since > 0)
+	got.Since = 0
 	assert.DeepEqual(t, got, e)
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -138,6 +138,8 @@
 		// wholeAt are the versions at which the tables were last read whole: removals
 		// before them may not be among the known rows.
 		wholeAt Positions
+		// readAt are the times up to which the tables were read from the store.
+		readAt map[string]time.Duration
 		// required are the tables that this instance must know, and that it tells
 		// others; feeds are those that are followed. unread are those not read yet.
 		required map[string]bool
@@ -184,6 +186,7 @@
 		missing:    make(map[string]time.Duration),
 		positions:  make(Positions),
 		wholeAt:    make(Positions),
+		readAt:     make(map[string]time.Duration),
 		required:   make(map[string]bool),
 		feeds:      make(map[string]feed),
 		unread:     map[string]bool{peersAsked: true},
@@ -348,6 +351,7 @@
 			return 0, err
 		}
 		f.fresh(start)
+		w.wasReadAt(f.table, start)
 		w.wasRead(f.table)
 		return newest, nil
 	}
@@ -364,6 +368,11 @@
 	version = max(version, page.Version)
 	w.applyChanges(f, page.Rows, version)
 	f.fresh(start)
+	if len(page.Rows) == 0 && common.Uptime()-start >= f.holdTime {
+		// The store has held the call for that long without changes.
+		start += f.holdTime
+	}
+	w.wasReadAt(f.table, start)
 	return version, nil
 }
 
@@ -507,6 +516,19 @@
 	w.positions[f.table] = max(w.positions[f.table], version)
 }
 
+// ReadAt returns the time up to which the table was read from the store; 0 if it wasn't.
+func (w *Watcher) ReadAt(table string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.readAt[table]
+}
+
+func (w *Watcher) wasReadAt(table string, at time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.readAt[table] = max(w.readAt[table], at)
+}
+
 // unknown returns the rows that are newer than what is known of their tables. An
 // older one may have been deleted since.
 func (w *Watcher) unknown(found []rows.Row) []rows.Row {
