Let a home read of heavy programs before it grants without the store

Cause: a home moves within the time in which others learn of heavy programs from their table, read every 2 s. The new home didn't know them and granted.

--- a/budget/home.go
+++ b/budget/home.go
@@ -27,6 +27,10 @@
 	provisionalTurns = 2
 	// recordTimeout bounds one such attempt.
 	recordTimeout = time.Second
+	// moveDelays is how many record delays after a program was assigned to this instance
+	// others may still make it heavy without telling this one: its former home vouches
+	// for one, and the transaction that follows may take another.
+	moveDelays = 2
 	// provisionalTTL is how long recorded provisional allocations are kept in
 	// memory.
 	provisionalTTL = 3 * time.Minute
@@ -100,7 +104,10 @@
 	if l.draining.Load() || l.allocated(program) || !l.config.StoreDown() {
 		return 0
 	}
-	if _, ok := l.peers.HomeSince(program); !ok {
+	since, ok := l.peers.HomeSince(program)
+	if readAt := l.config.HeavyReadAt(); !ok || readAt < since+moveDelays*l.config.RecordDelay {
+		l.log.Debug("no provisional allocation: the program may have become heavy at its home before",
+			"program", program, "home", ok, "homeForMs", (now - since).Milliseconds(), "heavyProgramsAgeMs", (now - readAt).Milliseconds())
 		return 0
 	}
 	if lost := l.peers.Losses(program); len(lost) > 0 {
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -365,6 +365,29 @@
 	}
 }
 
+// A program spends its budget, and its home moves just before the store goes down. Guards
+// against a new home that doesn't know the program as heavy and grants it more.
+func TestNewHomeGrantsNothingToHeavyPrograms(t *testing.T) {
+	const total, maxTokens = 800, 100
+	s := newSites(2)
+	defer s.close()
+	time.Sleep(2 * siteRecordDelay)
+	for _, m := range s.members {
+		s.readHeavy(m)
+	}
+	handed := 0
+	for range total / maxTokens {
+		handed += s.members[0].turn(total, maxTokens)
+	}
+	assert.Equal(t, handed, total)
+	s.stop(s.members[0])
+	s.setDown(true)
+	for range 4 {
+		handed += s.members[1].turn(total, maxTokens)
+	}
+	assert.Equal(t, handed, total)
+}
+
 // A program begins while the store is down, at a home that has been that for long. Guards
 // against grants that are refused without need.
 func TestProgramBeginsInACalmOutage(t *testing.T) {
