Read a budget's row again if its holders have returned tokens

Cause, by reading: the holder's tokens reach the row after another instance has read it and before the holder is asked, which then has none left to release. Change: if a holder releases less than the row says that it has, the row is read again once before the refusal.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -47,6 +47,8 @@
 	// although they may have granted what the store lacks.
 	homes  map[string]bool
 	losses [][]string
+	// beforeRelease is called before a holder is asked for tokens.
+	beforeRelease func()
 }
 
 // seat is a process' view of the fleet.
@@ -202,6 +204,9 @@
 	if !ok {
 		return 0, errGone
 	}
+	if f.beforeRelease != nil {
+		f.beforeRelease()
+	}
 	return l.Release(program)
 }
 
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -27,11 +27,14 @@
 	homeErr      error
 	// reclaimed is set once the other holders were asked; freed are the tokens that
 	// they returned, holderLost is set if one of them was unreachable, inTransit if
-	// one of them has tokens in transit.
+	// one of them has tokens in transit. outdated is set if one of them has less than
+	// the row says, which is read again once, for tokens that were returned since.
 	reclaimed  bool
 	freed      map[string]int
 	holderLost bool
 	inTransit  bool
+	outdated   bool
+	reread     bool
 }
 
 // extend reserves a further allocation of the program's budget in the store.
@@ -62,6 +65,10 @@
 			e.reclaimed, e.inTransit = false, false
 			return errStaleRow
 		}
+		if e.grantable(r) < need && e.outdated && !e.reread {
+			e.reread = true
+			return errStaleRow
+		}
 		if e.grantable(r) < need {
 			return l.refuse(e, r, need, version)
 		}
@@ -222,6 +229,7 @@
 			continue
 		}
 		freed := min(got, held)
+		e.outdated = e.outdated || freed < held
 		e.freed[holder] += freed
 		r.returnTokens(holder, freed)
 	}
--- a/budget/stop_test.go
+++ b/budget/stop_test.go
@@ -104,6 +104,24 @@
 	assert.NilError(t, other.Reserve(t.Context(), "p", total, maxTokens, 0))
 }
 
+// A holder's tokens reach the row between another instance's read of it and the holder's
+// reply. Guards against a 402 for a program that has spent nothing: neither the row that
+// was read nor the holder has the tokens.
+func TestReturnAfterTheReadIsNoSpentBudget(t *testing.T) {
+	const total, maxTokens = 200, 100
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	holder, other := f.start(), f.start()
+	for range total / maxTokens {
+		assert.NilError(t, holder.Reserve(t.Context(), "p", total, maxTokens, 0))
+	}
+	for range total / maxTokens {
+		holder.Settle("p", maxTokens, 0)
+	}
+	f.beforeRelease = func() { holder.ReturnUnused(t.Context()) }
+	assert.NilError(t, other.Reserve(t.Context(), "p", total, maxTokens, 0))
+}
+
 // Homes stop as planned or die while turns are in progress and the store loses replies.
 // Guards against tokens that are returned twice, or returned and handed out: a program
 // must get no more than its budget and one turn.
