Register again after a whole read of the roster

An instance that others had removed and that learnt of it by a read of the whole roster, after the store dropped its history, was listed nowhere for good: it had no share of quotas and was no home (seen by the review while reading).

Evidence: TestInstanceRegistersAgainAfterAWholeRead failed ("not registered" after 10 s). Change: a whole read that lacks this instance's row counts like its removal.

--- a/front/roster.go
+++ b/front/roster.go
@@ -42,8 +42,19 @@
 			entries = append(entries, e)
 		}
 	}
+	wasListed := f.roster.Listed()
 	f.roster.Replace(entries)
 	f.log.Info("roster loaded", "instances", f.roster.Len(), "rows", len(found))
+	if wasListed && !f.roster.Listed() {
+		f.registerAgain()
+	}
+}
+
+// registerAgain registers this instance after others have removed it.
+func (f *Front) registerAgain() {
+	if !f.stopping.Load() {
+		f.group.Go(f.register)
+	}
 }
 
 func (f *Front) applyRosterRows(found []rows.Row) {
@@ -71,8 +82,8 @@
 func (f *Front) applyRosterRow(r rows.Row) {
 	if r.Deleted {
 		f.log.Info("instance removed from the roster", "instance", r.Key, "rowVersion", r.Version)
-		if f.roster.Remove(r.Key) && !f.stopping.Load() {
-			f.group.Go(f.register)
+		if f.roster.Remove(r.Key) {
+			f.registerAgain()
 		}
 		return
 	}
