--- a/front/roster.go
+++ b/front/roster.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/roster"
@@ -25,8 +23,10 @@
 	// of programs before it registers all the same.
 	homeReadyTime     = 150 * time.Millisecond
 	homeReadyInterval = 5 * time.Millisecond
-	// registerInterval is the time between attempts to register.
-	registerInterval = 50 * time.Millisecond
+	// minRegisterInterval and maxRegisterInterval bound the time between attempts to
+	// register.
+	minRegisterInterval = 50 * time.Millisecond
+	maxRegisterInterval = 800 * time.Millisecond
 	// calmTime is how long the store must have been reachable so that a process that
 	// has ended since has recorded what it granted in outages: instances that are dead
 	// for longer are removed from the roster.
@@ -121,16 +121,16 @@
 
 // register adds this instance to the roster, in place of an earlier process' row.
 func (f *Front) register(ctx context.Context) {
-	for {
+	for interval := minRegisterInterval; ; interval = min(2*interval, maxRegisterInterval) {
 		err := f.registerOnce(ctx)
 		if err == nil {
 			f.roster.MarkListed()
 			return
 		}
-		if !errors.Is(err, rows.ErrConflict) {
-			f.log.Warn("registration on the roster failed", "error", err)
+		if interval == minRegisterInterval {
+			f.log.Warn("registration on the roster failed; trying again", "error", err)
 		}
-		if !group.Sleep(ctx, registerInterval) {
+		if !group.Sleep(ctx, interval) {
 			return
 		}
 	}
