Bound the outputs that turns in progress keep together

A faulty engine that sends events of conversations without end to many callers at once took 1 MB a turn (a report of other operators, machines that ran out of memory).

Change: all turns in progress share a sixteenth of the memory limit. One that wants more than an equal share while nothing is left is broken off as too large; sound turns keep a few KB.

--- a/front/front.go
+++ b/front/front.go
@@ -47,6 +47,9 @@
 	keyMargin = 100 * time.Millisecond
 	// cacheDivisor divides the memory limit; one part is for the cache of turns.
 	cacheDivisor = 8
+	// outputDivisor divides the memory limit; one part is for the outputs of turns in
+	// progress, which may take twice as much while they grow.
+	outputDivisor = 16
 	// idleBudgetTTL is how long the budget of a program without turns is kept in
 	// memory.
 	idleBudgetTTL = 2 * time.Minute
@@ -197,6 +200,7 @@
 		RouteMaxAge:   time.Duration(settings.ConfigDelay),
 		QuotaWindow:   time.Duration(settings.QuotaWindow),
 		ColdBurst:     max(0, settings.ColdOverage-1),
+		OutputBytes:   settings.MemoryMB << 20 / outputDivisor,
 	}
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -50,6 +50,9 @@
 	body      []byte
 	ancestors []string
 	output    []byte
+	// keepsOutput is set once the turn keeps output, of which outputBytes are reserved.
+	keepsOutput bool
+	outputBytes int
 	// versions are the software versions of upstreams that may go on with the stream
 	// that the caller takes up; nil for a new one.
 	versions []string
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -89,6 +89,8 @@
 		// ColdBurst is how many requests beyond its rate a cold upstream can take
 		// in a second, as a fraction of the rate.
 		ColdBurst float64
+		// OutputBytes bounds the outputs that all turns in progress keep.
+		OutputBytes int
 	}
 
 	// Deps are the proxy's dependencies.
@@ -114,6 +116,7 @@
 		attempts *attempts
 		config   atomic.Pointer[Config]
 		drain    drain.State
+		outputs  outputs
 	}
 )
 
@@ -135,5 +138,6 @@
 		return
 	}
 	defer x.release()
+	defer x.releaseOutput()
 	x.forward()
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -39,7 +39,7 @@
 			timer.Reset(time.Until(x.callerDeadline))
 		}
 		x.current.noteReceived()
-		if x.route.Conversation && len(x.output)+len(ev.data) > maxTurnOutput {
+		if x.route.Conversation && !x.growOutput(len(ev.data)+1) {
 			x.proxy.Picker.Done(u.ID, pick.Broken, common.Uptime())
 			x.addTrail(u, "stream too large for a turn")
 			x.record.reason = "the turn is too large"
@@ -100,6 +100,26 @@
 	return mayHaveRun
 }
 
+// growOutput reports whether the turn may keep that much more of its output.
+func (x *exchange) growOutput(more int) bool {
+	if !x.keepsOutput {
+		x.keepsOutput = true
+		x.proxy.outputs.begin()
+	}
+	if len(x.output)+more > maxTurnOutput || !x.proxy.outputs.grow(x.outputBytes, more, x.config.OutputBytes) {
+		return false
+	}
+	x.outputBytes += more
+	return true
+}
+
+// releaseOutput gives back the memory of the turn's output.
+func (x *exchange) releaseOutput() {
+	if x.keepsOutput {
+		x.proxy.outputs.end(x.outputBytes)
+	}
+}
+
 // finishStream stores the turn before its answer ends. An answer whose turn can't
 // be stored must not look complete, since the next turn would refer to it.
 func (x *exchange) finishStream() result {
