--- a/front/front.go
+++ b/front/front.go
@@ -61,7 +61,8 @@
 	registrationTime = time.Second
 	// rosterInterval and heavyInterval are the pauses between two reads of the
 	// changes of the roster and of the table of heavy programs. A home marks its
-	// own heavy programs at once, so others may learn of them later.
+	// own heavy programs at once; one that is new grants nothing to the programs that
+	// moved to it until it has read the table again.
 	rosterInterval = 700 * time.Millisecond
 	heavyInterval  = 2 * time.Second
 	// versionInterval is the pause between two reads of the changes of the versions
