Hold off requests that crash their upstreams

Callers saw half of their requests refused and others broken off: a request that crashes each upstream that runs it came again at any instance and was sent on 23 and 28 times after it had ended three (46 and 49 ended in all).

Cause: the request path put each failure down to the upstream alone and kept nothing about requests. Its own retry ended a second upstream per attempt.

Package poison decides from the crashes that all instances report which requests are held off; package crash proves that an upstream ended (a refused connection, another incarnation) and reports it in the store's table crashes, or to the peers while the store takes no write. A request that was in three crashes is refused with 503 for ten minutes, one that was in two is no longer retried by the instance itself. Requests that only ran beside it are cleared.

--- /dev/null
+++ b/crash/tracker.go
@@ -0,0 +1,409 @@
+// Package crash finds out which upstreams ended while they ran requests, tells all
+// instances of it, and holds off the requests that crash upstreams.
+package crash
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/poison"
+	"github.com/buckthorntide/buckthorntide/rows"
+	"github.com/buckthorntide/buckthorntide/site"
+)
+
+const (
+	// probeTimeout bounds one connection to an upstream that broke off; a round trip
+	// between failure domains takes about 3 ms.
+	probeTimeout = 250 * time.Millisecond
+	// confirmTime is how long a crash that the probe did not show may still be shown by
+	// the upstream's entry, and confirmInterval the time between two looks at it.
+	confirmTime     = 5 * time.Second
+	confirmInterval = 100 * time.Millisecond
+	// gatherTime is how long a report waits for other requests of the same crash.
+	gatherTime = 5 * time.Millisecond
+	// commitTimeout bounds the first try to store a report, after which peers are told,
+	// and storeTimeout all tries.
+	commitTimeout = 300 * time.Millisecond
+	storeTimeout  = time.Minute
+	// maxPending bounds the upstreams that are being examined and the reports on their
+	// way.
+	maxPending = 256
+	// sweepInterval is the time between two removals of old rows, and rowTTL the age
+	// from which they are removed.
+	sweepInterval = time.Minute
+	rowTTL        = 2 * poison.HoldTime
+	// maxRemoves is how many rows one transaction removes.
+	maxRemoves = 50
+)
+
+type (
+	// Views provide the current view of the deployment.
+	Views interface {
+		View() *site.View
+	}
+
+	// Peers are the other instances.
+	Peers interface {
+		// TellCrash passes the report to all peers.
+		TellCrash(ctx context.Context, r Report)
+		// IsHome reports whether this instance is the name's home.
+		IsHome(name string) bool
+	}
+
+	// Dial opens a connection to an upstream.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// Config holds a tracker's dependencies.
+	Config struct {
+		Log      hclog.Logger
+		Store    rows.Store
+		Views    Views
+		Peers    Peers
+		Registry metrics.Registry
+		Dial     Dial
+		// Process is unique among all processes of all instances.
+		Process string
+	}
+
+	// Tracker follows the crashes of upstreams. It is safe for concurrent use.
+	Tracker struct {
+		Config
+		group   *group.Group
+		crashes metrics.Counter
+		held    metrics.Counter
+		cleared metrics.Counter
+
+		mu    sync.Mutex
+		table *poison.Table
+		// pending are the upstreams that broke off a request and are being examined.
+		pending map[process]*suspicion
+		// seen holds when the rows were first seen.
+		seen map[rows.ID]time.Duration
+	}
+
+	process struct {
+		upstream    string
+		incarnation int64
+	}
+
+	// suspicion holds the requests that an upstream broke off.
+	suspicion struct {
+		// requests broke off after the last probe that showed the upstream alive, checked
+		// before it.
+		requests []poison.Request
+		checked  []poison.Request
+		// lastAt is when the last one broke off.
+		lastAt time.Duration
+	}
+)
+
+// NewTracker returns a tracker; Start starts to remove old rows.
+func NewTracker(config Config) *Tracker {
+	return &Tracker{
+		Config:  config,
+		group:   group.NewGroup(context.Background()),
+		crashes: metrics.GetOrRegisterCounter("crash.upstreams", config.Registry),
+		held:    metrics.GetOrRegisterCounter("crash.requestsHeldOff", config.Registry),
+		cleared: metrics.GetOrRegisterCounter("crash.requestsCleared", config.Registry),
+		table:   poison.NewTable(),
+		pending: make(map[process]*suspicion),
+		seen:    make(map[rows.ID]time.Duration),
+	}
+}
+
+// Start starts the removal of old rows.
+func (t *Tracker) Start() { t.group.Go(t.sweep) }
+
+// Close stops the tracker and waits for it.
+func (t *Tracker) Close() { t.group.Close() }
+
+// Tracks reports whether any crash is known, so that requests are worth comparing.
+func (t *Tracker) Tracks() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.table.Empty() || len(t.pending) > 0
+}
+
+// Known returns how many crashes are known.
+func (t *Tracker) Known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Len()
+}
+
+// HeldFor returns how much longer the request is held off, or 0.
+func (t *Tracker) HeldFor(r poison.Request) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	left := t.table.HeldFor(r, common.Uptime())
+	if left > 0 {
+		t.held.Inc(1)
+	}
+	return left
+}
+
+// MayRetry reports whether the request may be sent to another upstream after one that ran
+// it broke off. Crashes that aren't proven yet count as well.
+func (t *Tracker) MayRetry(r poison.Request) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	crashes := t.table.Crashes(r)
+	for _, s := range t.pending {
+		if slices.ContainsFunc(s.requests, func(other poison.Request) bool { return other.Path == r.Path }) {
+			crashes++
+		}
+	}
+	return crashes < poison.RetryLimit
+}
+
+// Broke records that the upstream broke off the request, and examines in the background
+// whether it has ended. An upstream that was about to leave proves nothing.
+func (t *Tracker) Broke(u *site.Upstream, r poison.Request) {
+	if u.State != site.Ready {
+		return
+	}
+	p := process{u.ID, u.Incarnation}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.pending[p]
+	if !ok {
+		if len(t.pending) >= maxPending {
+			t.Log.Warn("too many upstreams broke off requests to examine another", "upstream", u.ID)
+			return
+		}
+		s = &suspicion{}
+		t.pending[p] = s
+		t.group.Go(func(ctx context.Context) { t.examine(ctx, p, u) })
+	}
+	s.lastAt = common.Uptime()
+	s.requests = append(s.requests, r)
+}
+
+// Answered records that the upstream answered the request whole.
+func (t *Tracker) Answered(u *site.Upstream, r poison.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.table.Clear(r, u.SoftwareVersion)
+	if known == 0 {
+		return
+	}
+	t.cleared.Inc(1)
+	t.Log.Info("request that ran beside crashes was answered whole", "fingerprints", formatRequest(r), "upstream", u.ID, "crashes", known)
+	if known < poison.RetryLimit {
+		// Other instances don't limit it yet.
+		return
+	}
+	report := Report{Version: u.SoftwareVersion, Requests: []string{formatRequest(r)}, Cleared: true}
+	t.group.Go(func(ctx context.Context) { t.publish(ctx, report) })
+}
+
+// examine finds out whether the upstream has ended: its address refuses connections, or its
+// entry names another incarnation. A connection that broke proves nothing by itself, nor does
+// an upstream that can't be reached.
+func (t *Tracker) examine(ctx context.Context, p process, u *site.Upstream) {
+	for {
+		probed := t.unchecked(p)
+		if probed > 0 && t.refuses(ctx, u.Address) {
+			group.Sleep(ctx, gatherTime)
+			t.conclude(ctx, p, u, false, "its address refuses connections")
+			return
+		}
+		t.markChecked(p, probed)
+		if listed := t.Views.View().Upstream(u.Service, u.ID); listed != nil && listed.Incarnation != u.Incarnation {
+			t.conclude(ctx, p, u, true, "its entry names another incarnation")
+			return
+		}
+		if !group.Sleep(ctx, confirmInterval) || t.dismiss(p) {
+			return
+		}
+	}
+}
+
+// unchecked returns how many requests broke off since the upstream was last probed.
+func (t *Tracker) unchecked(p process) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending[p].requests)
+}
+
+// markChecked records that the upstream did not refuse a probe that began after the first
+// requests had broken off.
+func (t *Tracker) markChecked(p process, requests int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.pending[p]
+	s.checked = append(s.checked, s.requests[:requests]...)
+	s.requests = s.requests[requests:]
+}
+
+// dismiss ends the examination once nothing has shown for long that the upstream ended.
+func (t *Tracker) dismiss(p process) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if common.Uptime()-t.pending[p].lastAt < confirmTime {
+		return false
+	}
+	delete(t.pending, p)
+	return true
+}
+
+// conclude records the crash and tells all instances of it. The requests that broke off
+// before the upstream was last found alive were in flight at the crash only if that probe
+// met its next incarnation.
+func (t *Tracker) conclude(ctx context.Context, p process, u *site.Upstream, withChecked bool, proof string) {
+	t.mu.Lock()
+	s := t.pending[p]
+	delete(t.pending, p)
+	c := poison.Crash{Upstream: u.ID, Incarnation: u.Incarnation, Version: u.SoftwareVersion, Requests: s.requests}
+	if withChecked {
+		c.Requests = append(c.Requests, s.checked...)
+	}
+	t.record(c, true, proof)
+	t.mu.Unlock()
+	t.publish(ctx, newReport(c))
+}
+
+func (t *Tracker) refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := t.Dial(ctx, "tcp", address)
+	if err == nil {
+		if err := conn.Close(); err != nil {
+			t.Log.Debug("connection of a probe could not be closed", "address", address, "error", err)
+		}
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
+// record adds the crash to the table. The caller holds the lock.
+func (t *Tracker) record(c poison.Crash, own bool, source string) {
+	added, held := t.table.Record(c, common.Uptime())
+	if len(added) == 0 {
+		return
+	}
+	c.Requests = added
+	level := hclog.Debug
+	if own {
+		level = hclog.Info
+		t.crashes.Inc(1)
+	}
+	t.Log.Log(level, "upstream ended with requests in flight", "upstream", c.Upstream, "incarnation", c.Incarnation,
+		"version", c.Version, "requests", newReport(c).Requests, "source", source)
+	for _, r := range held {
+		t.Log.Warn("request crashes its upstreams; holding it off", "fingerprints", formatRequest(r),
+			"crashes", t.table.Crashes(r), "lastUpstream", c.Upstream, "source", source)
+	}
+}
+
+// Told takes over a report of a peer.
+func (t *Tracker) Told(r Report, source string) error {
+	c, err := r.crash()
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !r.Cleared {
+		t.record(c, false, source)
+		return nil
+	}
+	for _, request := range c.Requests {
+		t.table.Clear(request, r.Version)
+	}
+	return nil
+}
+
+// publish stores the report for all instances, and tells it to the peers as long as the
+// store doesn't take it.
+func (t *Tracker) publish(ctx context.Context, r Report) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.Log.Error("crash report can't be encoded", "upstream", r.Upstream, "error", err)
+		return
+	}
+	txn := rows.Txn{Writes: []rows.Write{{ID: r.rowID(t.Process), Value: value}}}
+	first, cancel := context.WithTimeout(ctx, commitTimeout)
+	_, err = rows.CommitUntilKnown(first, t.Store, txn)
+	cancel()
+	if err == nil {
+		return
+	}
+	t.Log.Info("crash report not stored yet; telling peers", "upstream", r.Upstream, "requests", r.Requests, "error", err)
+	t.Peers.TellCrash(ctx, r)
+	ctx, cancel = context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := rows.CommitUntilKnown(ctx, t.Store, txn); err != nil {
+		t.Log.Warn("crash report not stored", "upstream", r.Upstream, "requests", r.Requests, "error", err)
+	}
+}
+
+// Apply takes over rows of the table.
+func (t *Tracker) Apply(found []rows.Row) {
+	for _, row := range found {
+		if row.Deleted {
+			t.forget(row.ID)
+			continue
+		}
+		t.noteSeen(row.ID)
+		r, err := decodeReport(row)
+		if err == nil {
+			err = t.Told(r, "row "+row.Key)
+		}
+		if err != nil {
+			t.Log.Warn("invalid crash report", "key", row.Key, "error", err)
+		}
+	}
+}
+
+// noteSeen notes when the row was first seen.
+func (t *Tracker) noteSeen(id rows.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.seen[id]; !ok {
+		t.seen[id] = common.Uptime()
+	}
+}
+
+func (t *Tracker) forget(id rows.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.seen, id)
+}
+
+// sweep removes rows that no instance needs any more.
+func (t *Tracker) sweep(ctx context.Context) {
+	for group.Sleep(ctx, sweepInterval) {
+		if !t.Peers.IsHome(Table) {
+			continue
+		}
+		if old := t.expired(common.Uptime()); len(old) > 0 {
+			if _, err := t.Store.Commit(ctx, rows.Txn{Removes: old}); err != nil {
+				t.Log.Info("old crash reports not removed yet", "rows", len(old), "error", err)
+			}
+		}
+	}
+}
+
+func (t *Tracker) expired(now time.Duration) []rows.ID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var old []rows.ID
+	for id, at := range t.seen {
+		if now-at > rowTTL && len(old) < maxRemoves {
+			old = append(old, id)
+		}
+	}
+	return old
+}
--- a/front/dump.go
+++ b/front/dump.go
@@ -30,9 +30,11 @@
 		ExcludedDomains  []string `json:"domainsOut"`
 		// Versions are the software versions of each service at which streams may be
 		// open.
-		Versions  map[string][]resume.Listed `json:"versions"`
-		Upstreams []UpstreamDump             `json:"upstreams"`
-		Instances []InstanceDump             `json:"instances"`
+		Versions map[string][]resume.Listed `json:"versions"`
+		// Crashes is how many crashes of upstreams are known that had requests in flight.
+		Crashes   int            `json:"crashes"`
+		Upstreams []UpstreamDump `json:"upstreams"`
+		Instances []InstanceDump `json:"instances"`
 	}
 
 	// UpstreamDump is one upstream as this instance sees it.
@@ -76,6 +78,7 @@
 		StoreUnreachable: f.watcher.StoreDown(),
 		ExcludedDomains:  slices.Sorted(maps.Keys(view.ExcludedDomains())),
 		Versions:         f.streams.Dump(),
+		Crashes:          f.crashes.Known(),
 		Upstreams:        []UpstreamDump{},
 		Instances:        []InstanceDump{},
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -17,6 +17,7 @@
 	"github.com/buckthorntide/buckthorntide/bypass"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/conf"
+	"github.com/buckthorntide/buckthorntide/crash"
 	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
 	"github.com/buckthorntide/buckthorntide/peer"
@@ -68,6 +69,9 @@
 	// versionInterval is the pause between two reads of the changes of the versions
 	// of services, which are rare. Streams begin at a version once it is known.
 	versionInterval = 50 * time.Millisecond
+	// crashInterval is the same for crashes of upstreams, of which a request that crashes
+	// them causes several within seconds.
+	crashInterval = 200 * time.Millisecond
 	// headerTimeout bounds the read of a request's header.
 	headerTimeout = 10 * time.Second
 )
@@ -99,6 +103,7 @@
 	limiter       *share.Limiter
 	keeper        *turns.Keeper
 	streams       *resume.Tracker
+	crashes       *crash.Tracker
 	picker        *pick.Picker
 	transport     *relay.Transport
 	proxy         *proxy.Proxy
@@ -159,6 +164,15 @@
 	})
 	f.streams = resume.NewTracker(log.Named("resume"), f.store, f.watcher, f.common.Metrics,
 		resume.Config{Process: f.roster.Self().HolderName(), Instances: f.peers.Instances, StoreWriteRate: settings.StoreWriteRate})
+	f.crashes = crash.NewTracker(crash.Config{
+		Log:      log.Named("crash"),
+		Store:    f.store,
+		Views:    f.watcher,
+		Peers:    f.peers,
+		Registry: f.common.Metrics,
+		Dial:     f.transport.DialContext,
+		Process:  f.roster.Self().HolderName(),
+	})
 	f.proxy = proxy.NewProxy(proxy.Deps{
 		Log:       log.Named("gate"),
 		Metrics:   f.common.Metrics,
@@ -169,6 +183,7 @@
 		Turns:     f.keeper,
 		Streams:   f.streams,
 		Picker:    f.picker,
+		Crashes:   f.crashes,
 		Transport: f.transport,
 	}, proxyConfig(settings))
 	if err := f.listen(); err != nil {
@@ -215,7 +230,7 @@
 		return errors.Trace(err)
 	}
 	f.peerServer = server
-	f.peerServer.Register(f.peers.Handlers(f.buckets, f.keeper, f.watcher, f.direct)...)
+	f.peerServer.Register(f.peers.Handlers(f.buckets, f.keeper, f.watcher, f.direct, f.crashes)...)
 	f.readyServer = &http.Server{Handler: http.HandlerFunc(f.serveReady), ReadHeaderTimeout: headerTimeout}
 	f.metricsServer = &http.Server{Handler: f.newMetricsHandler(), ReadHeaderTimeout: headerTimeout}
 	for _, address := range []string{f.settings.CallerAddress, f.settings.ReadyAddress, f.settings.MetricsAddress} {
@@ -238,11 +253,14 @@
 	f.peerServer.Start()
 	f.watcher.Require(roster.Table)
 	f.watcher.Require(resume.VersionTable)
+	f.watcher.Require(crash.Table)
 	f.watcher.Start()
 	f.watcher.Follow(roster.Table, rosterInterval, f.replaceRoster, f.applyRosterRows)
 	f.watcher.Follow(budget.HeavyTable, heavyInterval, f.ledger.LoadHeavyPrograms, f.ledger.UpdateHeavyPrograms)
 	f.watcher.Follow(resume.VersionTable, versionInterval, f.streams.Apply, f.streams.Apply)
+	f.watcher.Follow(crash.Table, crashInterval, f.crashes.Apply, f.crashes.Apply)
 	f.streams.Start()
+	f.crashes.Start()
 	f.group.Go(f.registerWhenReady)
 	f.group.Go(f.removeLost)
 	f.group.Go(func(context.Context) { f.logServe(callerListener, f.callerServer.Serve()) })
@@ -280,6 +298,7 @@
 	f.ledger.Close()
 	f.keeper.Close()
 	f.streams.Close()
+	f.crashes.Close()
 	if f.peerServer != nil {
 		f.peerServer.Close()
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -12,10 +12,12 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/bypass"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/crash"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/rows"
@@ -42,6 +44,8 @@
 	maxFallbackPeers = 3
 	// fallbackTimeout bounds such a call; it includes the store's time.
 	fallbackTimeout = 400 * time.Millisecond
+	// maxConcurrentTells bounds the concurrent messages to all peers.
+	maxConcurrentTells = 16
 
 	// errEjected means that the peer is ejected after a call without a reply.
 	errEjected = errors.ConstError("instance did not answer just now")
@@ -194,6 +198,21 @@
 	return found
 }
 
+// TellCrash passes the report to all peers, each of them once.
+func (m *Client) TellCrash(ctx context.Context, r crash.Report) {
+	var told errgroup.Group
+	told.SetLimit(maxConcurrentTells)
+	for _, e := range m.roster.Others() {
+		told.Go(func() error {
+			if _, err := call(ctx, m, crash.Tell, e, &r, callTimeout); err != nil {
+				m.log.Debug("crash report did not reach a peer", "instance", e.Name, "error", err)
+			}
+			return nil
+		})
+	}
+	_ = told.Wait()
+}
+
 // Updates requests updates from two peers, or from the seeds while no peer is
 // known, and returns the freshest reply.
 func (m *Client) Updates(ctx context.Context, known watch.Positions) (watch.Updates, bool) {
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -6,6 +6,7 @@
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/bypass"
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/crash"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/rows"
 	"github.com/buckthorntide/buckthorntide/share"
@@ -15,7 +16,7 @@
 
 // Handlers returns the handlers of the peers' calls. The store must be the
 // direct one, so that a store call goes via one peer at most.
-func (m *Client) Handlers(buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store) []peer.Handler {
+func (m *Client) Handlers(buckets *share.Buckets, keeper *turns.Keeper, watcher *watch.Watcher, store rows.Store, crashes *crash.Tracker) []peer.Handler {
 	return []peer.Handler{
 		budget.Release.Handle(func(_ context.Context, q *budget.ReleaseRequest) (*budget.ReleaseReply, error) {
 			freed, err := m.ledger.Release(q.Program)
@@ -46,6 +47,9 @@
 		FetchUpdates.Handle(func(_ context.Context, q *UpdatesRequest) (*UpdatesReply, error) {
 			return &UpdatesReply{Updates: watcher.UpdatesSince(q.Known)}, nil
 		}),
+		crash.Tell.Handle(func(_ context.Context, q *crash.Report) (*crash.Ack, error) {
+			return &crash.Ack{}, crashes.Told(*q, "a peer")
+		}),
 		bypass.Commit.Handle(func(ctx context.Context, q *bypass.CommitRequest) (*bypass.Reply, error) {
 			version, err := store.Commit(ctx, q.Txn)
 			return bypass.NewReply(rows.Page{Version: version}, err), nil
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/drain"
+	"github.com/buckthorntide/buckthorntide/poison"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
 	"github.com/buckthorntide/buckthorntide/turns"
@@ -56,6 +57,8 @@
 	// versions are the software versions of upstreams that may go on with the stream
 	// that the caller takes up; nil for a new one.
 	versions []string
+	// identified holds the request's fingerprints once they were needed.
+	identified poison.Request
 	// current is the attempt in flight.
 	current *attempt
 	// record holds the values of the final log line.
@@ -74,6 +77,7 @@
 		{run: x.checkKey},
 		{run: x.readBody},
 		{run: x.checkDrain},
+		{run: x.checkCrashes},
 		{x.takeQuota, &x.record.quotaTime},
 		{x.findVersion, &x.record.resumeTime},
 		{x.prependTurns, &x.record.turnsTime},
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -112,11 +112,15 @@
 		return &refusal{status: http.StatusGatewayTimeout, reason: "no time is left"}
 	case x.record.runs >= x.route.MaxAttempts || x.record.attempts >= maxSends:
 		return &refusal{status: http.StatusBadGateway, reason: "no attempts are left"}
-	case x.record.runs == 0:
-		return x.checkDrain()
-	default:
+	case x.record.runs > 0 && !x.mayRetry():
+		return &refusal{status: http.StatusBadGateway, reason: "the request may have crashed the upstreams that ran it"}
+	case x.record.runs > 0:
 		return nil
 	}
+	if refused := x.checkCrashes(); refused != nil {
+		return refused
+	}
+	return x.checkDrain()
 }
 
 // failureReason returns the error for a request that can't be retried.
@@ -305,9 +309,10 @@
 }
 
 func (x *exchange) handleNoResponse(u *site.Upstream, d *delivery, err error) result {
-	x.proxy.Picker.Done(u.ID, x.errorOutcome(u, err, x.attemptDeadline(d)), common.Uptime())
+	sent := !errors.Is(err, relay.ErrNotSent)
+	x.noteFailure(u, err, x.attemptDeadline(d), sent)
 	x.addTrail(u, "error: "+x.failureCause(err))
-	if errors.Is(err, relay.ErrNotSent) {
+	if !sent {
 		return notRun
 	}
 	x.record.runs++
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/pick"
+	"github.com/buckthorntide/buckthorntide/poison"
 	"github.com/buckthorntide/buckthorntide/resume"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -75,6 +76,21 @@
 		LastUpstream(program string, now time.Duration) string
 	}
 
+	// Crashes know which requests crash the upstreams that run them.
+	Crashes interface {
+		// Tracks reports whether there is any crash to compare requests with.
+		Tracks() bool
+		// HeldFor returns how much longer the request must not run, or 0.
+		HeldFor(r poison.Request) time.Duration
+		// MayRetry reports whether another upstream may run the request after one that
+		// broke it off.
+		MayRetry(r poison.Request) bool
+		// Broke records that the upstream broke off the request, Answered that it answered
+		// it whole.
+		Broke(u *site.Upstream, r poison.Request)
+		Answered(u *site.Upstream, r poison.Request)
+	}
+
 	// Config holds the settings that Configure can change at run time.
 	Config struct {
 		// FailureDomain is the one that this instance runs in.
@@ -104,6 +120,7 @@
 		Turns   Turns
 		Streams Streams
 		Picker  Picker
+		Crashes Crashes
 		// Transport returns relay.ErrNotSent for a request of which nothing was sent.
 		Transport http.RoundTripper
 	}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/site"
 )
@@ -14,13 +13,12 @@
 // relayResponse forwards a non-streaming answer.
 func (x *exchange) relayResponse(u *site.Upstream, d *delivery, resp *http.Response) result {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
-	now := common.Uptime()
 	if err != nil {
-		x.proxy.Picker.Done(u.ID, x.errorOutcome(u, err, x.deadline()), now)
+		x.noteFailure(u, err, x.deadline(), true)
 		x.addTrail(u, "broke off: "+x.failureCause(err))
 		return mayHaveRun
 	}
-	x.proxy.Picker.Done(u.ID, statusOutcome(resp.StatusCode), now)
+	x.noteWhole(u, statusOutcome(resp.StatusCode))
 	x.addTrail(u, resp.Status)
 	answer := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError && x.repeatable() {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -25,7 +25,7 @@
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
-			x.proxy.Picker.Done(u.ID, pick.Answered, common.Uptime())
+			x.noteWhole(u, pick.Answered)
 			x.addTrail(u, "whole stream")
 			x.startStream(u, d, resp)
 			return x.finishStream()
@@ -95,7 +95,7 @@
 }
 
 func (x *exchange) streamFailed(u *site.Upstream, err error) result {
-	x.proxy.Picker.Done(u.ID, x.errorOutcome(u, err, x.callerDeadline), common.Uptime())
+	x.noteFailure(u, err, x.callerDeadline, true)
 	x.addTrail(u, "stream broke off: "+x.failureCause(err))
 	return mayHaveRun
 }
