Read the load of upstreams that also tell their machine's pace

Upstreams of some services add a fourth figure to their load. The decoder accepted exactly three, so their load was not read at all, and each instance placed requests by its own count alone.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -88,6 +88,9 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Pace is how long work takes on the upstream's machine now, in percent of the
+		// usual; 0 means unknown.
+		Pace int
 	}
 
 	// Codec translates between HTTP headers and the types above.
