--- a/conf/front.go
+++ b/conf/front.go
@@ -37,6 +37,8 @@
 	RowBytes int `json:"rowBytes"`
 	// MemoryMB is the memory limit of the process, in MB.
 	MemoryMB int `json:"memoryMB"`
+	// MaxDescriptors is the limit of the process's open file descriptors.
+	MaxDescriptors int `json:"maxDescriptors"`
 	// KeyRevocation is the maximum time until a withdrawn key is refused.
 	KeyRevocation Duration `json:"keyRevocation"`
 	// ConfigDelay is the maximum time until a new configuration is in force.
@@ -69,6 +71,7 @@
 		StoreWriteRate: 800,
 		RowBytes:       64 << 10,
 		MemoryMB:       154,
+		MaxDescriptors: 1024,
 		KeyRevocation:  Duration(5 * time.Second),
 		ConfigDelay:    Duration(2 * time.Second),
 		QuotaWindow:    Duration(5 * time.Second),
@@ -125,6 +128,7 @@
 		{"storeWriteRate", float64(s.StoreWriteRate)},
 		{"rowBytes", float64(s.RowBytes)},
 		{"memoryMB", float64(s.MemoryMB)},
+		{"maxDescriptors", float64(s.MaxDescriptors)},
 		{"coldOverage", s.ColdOverage},
 	} {
 		if f.value <= 0 {
