Bound the memory and the connections that callers hold

Package memory decides which requests may hold memory. Bodies, continued bodies, buffered answers, large events and the outputs of turns are reserved in one account before they are used; idle callers and holders of more than an equal share are evicted for others, and the rest is refused with 503. It replaces proxy/outputs.go; TestOutputsLeaveEachTurnItsShare moves to package memory and checks the same with four turns, evictions in place of overcommit. Callers' connections are bounded by maxDescriptors and memory, and request headers by 64 KB. The tests' deployment (newWorld) passes an account in place of OutputBytes.

--- a/drain/conns.go
+++ b/drain/conns.go
@@ -36,16 +36,26 @@
 		closing map[http.ConnState]bool
 		// dropped counts requests that crossed the close of their connection.
 		dropped int
+		// limit bounds the open connections; 0 means none. live are those that are open and
+		// not closed here, displaced those that were closed at the limit.
+		limit     int
+		live      int
+		displaced int
+		// noteDisplaced is called after a connection was closed at the limit, if it is set.
+		noteDisplaced func(total int)
 	}
 
 	// conn is one connection. Its Info is updated before each request and doesn't
 	// change while one is in progress.
 	conn struct {
 		Info
+		conns *conns
 		state http.ConnState
 		// since is when the state began, on the clock of common.Uptime.
 		since  time.Duration
 		closed bool
+		// complete is set once the request in progress was read whole.
+		complete bool
 	}
 
 	// Counts counts a server's connections by state: fresh ones were accepted and
@@ -54,6 +64,8 @@
 		Fresh, Active, Idle int
 		// Dropped counts requests that crossed the close of their connection.
 		Dropped int
+		// Displaced counts connections that were closed because there were too many.
+		Displaced int
 	}
 )
 
@@ -84,16 +96,61 @@
 	// The server doesn't report a request that it had read together with the one
 	// before.
 	one.enter(http.StateActive)
+	one.complete = false
 	return true
 }
 
 // connContext is the server's hook for a new connection's context.
 func (c *conns) connContext(ctx context.Context, netConn net.Conn) context.Context {
-	one := &conn{state: http.StateNew, since: common.Uptime()}
+	one := &conn{conns: c, state: http.StateNew, since: common.Uptime()}
+	if total := c.add(netConn, one); total > 0 && c.noteDisplaced != nil {
+		c.noteDisplaced(total)
+	}
+	return context.WithValue(ctx, connKey{}, one)
+}
+
+// add adds a new connection. At the limit it closes another one, or the new one if all others
+// have a request in progress, and returns how many were closed so far, or else 0.
+func (c *conns) add(netConn net.Conn, one *conn) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	displaced := 0
+	if c.limit > 0 && c.live >= c.limit {
+		c.displaced++
+		displaced = c.displaced
+		if old, found := c.leastUseful(); found != nil {
+			c.close(old, found)
+		} else {
+			defer c.close(netConn, one)
+		}
+	}
 	c.open[netConn] = one
-	return context.WithValue(ctx, connKey{}, one)
+	c.live++
+	return displaced
+}
+
+// leastUseful returns the connection that has been idle longest or, without any, the one that
+// has gone longest without a whole request. It returns nil if all have one in progress.
+func (c *conns) leastUseful() (net.Conn, *conn) {
+	var oldest net.Conn
+	var least *conn
+	for netConn, one := range c.open {
+		if one.closed || one.state == http.StateActive && one.complete {
+			continue
+		}
+		idle, leastIdle := one.state == http.StateIdle, least != nil && least.state == http.StateIdle
+		if least == nil || idle && !leastIdle || idle == leastIdle && one.since < least.since {
+			oldest, least = netConn, one
+		}
+	}
+	return oldest, least
+}
+
+// noteRead records that the connection's request was read whole.
+func (c *conns) noteRead(one *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	one.complete = true
 }
 
 // setState is the server's hook for changes of a connection's state.
@@ -106,11 +163,14 @@
 		return
 	case state == http.StateClosed || state == http.StateHijacked:
 		delete(c.open, netConn)
+		if !one.closed {
+			c.live--
+		}
 		return
 	}
 	one.enter(state)
 	if c.closing[state] {
-		one.close(netConn)
+		c.close(netConn, one)
 	}
 }
 
@@ -127,11 +187,12 @@
 	c.state, c.since = state, now
 }
 
-func (c *conn) close(netConn net.Conn) {
-	if c.closed {
+func (c *conns) close(netConn net.Conn, one *conn) {
+	if one.closed {
 		return
 	}
-	c.closed = true
+	one.closed = true
+	c.live--
 	// The server reports the close again and logs nothing about it.
 	_ = netConn.Close()
 }
@@ -165,7 +226,7 @@
 	closed := 0
 	for _, netConn := range batch {
 		if one, ok := c.open[netConn]; ok && one.state == state && !one.closed {
-			one.close(netConn)
+			c.close(netConn, one)
 			closed++
 		}
 	}
@@ -194,7 +255,7 @@
 func (c *conns) counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	n := Counts{Dropped: c.dropped}
+	n := Counts{Dropped: c.dropped, Displaced: c.displaced}
 	for _, one := range c.open {
 		switch {
 		case one.closed:
--- a/drain/info.go
+++ b/drain/info.go
@@ -25,3 +25,11 @@
 	}
 	return Info{}
 }
+
+// NoteRequestRead records that the request with the context was read whole, so that its
+// connection is not closed for a new one.
+func NoteRequestRead(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*conn); ok {
+		c.conns.noteRead(c)
+	}
+}
--- a/drain/server.go
+++ b/drain/server.go
@@ -44,6 +44,13 @@
 	return s
 }
 
+// LimitConns bounds the open connections. At the limit a new connection replaces one without
+// a whole request; displaced is then called with the number of connections closed so far. It
+// must be called before Serve.
+func (s *Server) LimitConns(limit int, displaced func(total int)) {
+	s.conns.limit, s.conns.noteDisplaced = limit, displaced
+}
+
 // Serve accepts connections until the server is stopped, and then returns nil.
 func (s *Server) Serve() error {
 	s.server.Handler = s.conns.handler(s.Handler)
--- a/front/front.go
+++ b/front/front.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/bypass"
@@ -20,6 +21,7 @@
 	"github.com/buckthorntide/buckthorntide/crash"
 	"github.com/buckthorntide/buckthorntide/drain"
 	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/memory"
 	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/peers"
 	"github.com/buckthorntide/buckthorntide/pick"
@@ -46,11 +48,17 @@
 	// working. The age of keys counts from before the request to the store, so the
 	// margin only covers the resolution of timers.
 	keyMargin = 100 * time.Millisecond
-	// cacheDivisor divides the memory limit; one part is for the cache of turns.
-	cacheDivisor = 8
-	// outputDivisor divides the memory limit; one part is for the outputs of turns in
-	// progress, which may take twice as much while they grow.
-	outputDivisor = 16
+	// fileDescriptors are those for files, peers, the store and the other listeners.
+	fileDescriptors = 200
+	// idleConnBytes is what an idle connection costs: the goroutine's stack, two buffers of
+	// 4 KB and its entries.
+	idleConnBytes = 20 << 10
+	// minConns bounds the limit of connections from below.
+	minConns = 16
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+	// displacedInterval is the pause between two log lines on closed connections.
+	displacedInterval = time.Second
 	// idleBudgetTTL is how long the budget of a program without turns is kept in
 	// memory.
 	idleBudgetTTL = 2 * time.Minute
@@ -104,6 +112,7 @@
 	keeper        *turns.Keeper
 	streams       *resume.Tracker
 	crashes       *crash.Tracker
+	memory        *memory.Account
 	picker        *pick.Picker
 	transport     *relay.Transport
 	proxy         *proxy.Proxy
@@ -125,6 +134,7 @@
 		group:     group.NewGroup(context.Background()),
 		startedAt: common.Uptime(),
 		direct:    platform.NewStore(settings.StoreAddress, storeConnectTimeout),
+		memory:    memory.NewAccount(memory.Limit(settings.MemoryMB << 20)),
 		picker:    pick.NewPicker(),
 		transport: relay.NewTransport(relay.NewDialer(upstreamConnectTimeout, upstreamAckTimeout)),
 	}
@@ -159,7 +169,7 @@
 	f.limiter = share.NewLimiter(f.buckets, f.peers)
 	f.keeper = turns.NewKeeper(log.Named("turns"), f.store, f.peers, turns.Config{
 		RowBytes:   settings.RowBytes,
-		CacheBytes: settings.MemoryMB << 20 / cacheDivisor,
+		CacheBytes: settings.MemoryMB << 20 / memory.CacheDivisor,
 		StoreLost:  f.store.Lost,
 	})
 	f.streams = resume.NewTracker(log.Named("resume"), f.store, f.watcher, f.common.Metrics,
@@ -184,6 +194,7 @@
 		Streams:   f.streams,
 		Picker:    f.picker,
 		Crashes:   f.crashes,
+		Memory:    f.memory,
 		Transport: f.transport,
 	}, proxyConfig(settings))
 	if err := f.listen(); err != nil {
@@ -198,6 +209,7 @@
 func (f *Front) Reload(settings conf.FrontSettings) {
 	f.reloadable.Store(&settings)
 	f.proxy.Configure(proxyConfig(settings))
+	f.memory.Resize(memory.Limit(settings.MemoryMB << 20))
 	f.log.SetLevel(hclog.LevelFromString(settings.LogLevel))
 	f.log.Info("settings reloaded", "keyRevocation", time.Duration(settings.KeyRevocation),
 		"configDelay", time.Duration(settings.ConfigDelay), "stopGrace", time.Duration(settings.StopGrace),
@@ -216,7 +228,6 @@
 		RouteMaxAge:   time.Duration(settings.ConfigDelay),
 		QuotaWindow:   time.Duration(settings.QuotaWindow),
 		ColdBurst:     max(0, settings.ColdOverage-1),
-		OutputBytes:   settings.MemoryMB << 20 / outputDivisor,
 	}
 }
 
@@ -244,10 +255,37 @@
 		Handler:           f.proxy,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	})
+	f.limitConns()
 	return nil
 }
 
+// limitConns bounds callers' connections by the descriptors and the memory of the process.
+// Each of them may have one to an upstream in use.
+func (f *Front) limitConns() {
+	byDescriptors := (f.settings.MaxDescriptors - fileDescriptors) / 2
+	byMemory := f.settings.MemoryMB << 20 / memory.ConnDivisor / idleConnBytes
+	limit := max(minConns, min(byDescriptors, byMemory))
+	f.transport.MaxIdleConns = limit
+	closed := metrics.GetOrRegisterCounter("callers.closed", f.common.Metrics)
+	f.common.Metrics.GetOrRegister("callers.open", func() metrics.Gauge {
+		return metrics.NewFunctionalGauge(func() int64 {
+			n := f.callerServer.Counts()
+			return int64(n.Fresh + n.Active + n.Idle)
+		})
+	})
+	var loggedAt time.Duration
+	// The server accepts connections one at a time.
+	f.callerServer.LimitConns(limit, func(total int) {
+		closed.Inc(1)
+		if now := common.Uptime(); loggedAt == 0 || now-loggedAt >= displacedInterval {
+			loggedAt = now
+			f.log.Warn("too many callers' connections; closing those without a request", "limit", limit, "closed", total)
+		}
+	})
+}
+
 // Start runs all parts in the background and registers the instance.
 func (f *Front) Start() {
 	f.peerServer.Start()
--- a/proxy/attempts.go
+++ b/proxy/attempts.go
@@ -33,6 +33,8 @@
 		receivedAt atomic.Int64
 		// cancel ends the attempt; it is nil if the attempt must not be cancelled.
 		cancel context.CancelFunc
+		// stop ends the attempt at any time.
+		stop context.CancelFunc
 		// unresponsive is set if the attempt was cancelled because the upstream
 		// sent nothing.
 		unresponsive atomic.Bool
--- a/proxy/events.go
+++ b/proxy/events.go
@@ -13,6 +13,9 @@
 	eventBuffer = 4 << 10
 	// maxEventBytes bounds the size of one event, whose lines may never end.
 	maxEventBytes = 256 << 10
+	// eventCopies is how often an event is in memory while it is read: raw, its data, and
+	// the copy made while one of them grows.
+	eventCopies = 3
 )
 
 // errEventTooLarge is returned for an event that exceeds maxEventBytes.
@@ -36,6 +39,10 @@
 		buffered *bufio.Reader
 		raw      []byte
 		data     []byte
+		// reserve reserves memory for large events, if it is set; reserved are the bytes
+		// that it was asked for.
+		reserve  func(bytes int) error
+		reserved int
 	}
 )
 
@@ -73,6 +80,9 @@
 		if len(e.raw)+len(part) > maxEventBytes {
 			return nil, errEventTooLarge
 		}
+		if err := e.reserveFor(len(e.raw) + len(part)); err != nil {
+			return nil, err
+		}
 		e.raw = append(e.raw, part...)
 		switch {
 		case err == nil:
@@ -84,6 +94,20 @@
 	}
 }
 
+// reserveFor reserves memory for an event of that size.
+func (e *eventReader) reserveFor(size int) error {
+	need := eventCopies * size
+	if e.reserve == nil || size <= eventBuffer || need <= e.reserved {
+		return nil
+	}
+	more := max(need-e.reserved, e.reserved)
+	if err := e.reserve(more); err != nil {
+		return err
+	}
+	e.reserved += more
+	return nil
+}
+
 // remainder returns what the stream ended with after its last event, which may only
 // be empty lines.
 func (e *eventReader) remainder() (event, error) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/drain"
+	"github.com/buckthorntide/buckthorntide/memory"
 	"github.com/buckthorntide/buckthorntide/poison"
 	"github.com/buckthorntide/buckthorntide/share"
 	"github.com/buckthorntide/buckthorntide/site"
@@ -51,9 +52,8 @@
 	body      []byte
 	ancestors []string
 	output    []byte
-	// keepsOutput is set once the turn keeps output, of which outputBytes are reserved.
-	keepsOutput bool
-	outputBytes int
+	// held owns the memory that is reserved for the fields above and for the answer.
+	held *memory.Holder
 	// versions are the software versions of upstreams that may go on with the stream
 	// that the caller takes up; nil for a new one.
 	versions []string
@@ -107,6 +107,7 @@
 		view:   g.Views.View(),
 		config: g.config.Load(),
 		start:  time.Now(),
+		held:   g.Memory.Open(common.Uptime()),
 		record: record{conn: drain.InfoOf(r.Context()), draining: g.drain.For()},
 	}
 }
@@ -194,14 +195,19 @@
 	if err := x.boundCaller(); err != nil {
 		return &refusal{reason: "the caller's connection can't be bounded: " + err.Error(), abort: true}
 	}
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
+	x.held.Enter(memory.Reading, x.stopReading, common.Uptime())
+	body, err := x.readAll(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength, limit)
+	stays := x.held.Enter(memory.Working, nil, common.Uptime())
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case !stays || lacksMemory(err):
+		return x.refuseUnread(err)
+	case errors.As(err, &tooLarge):
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if err != nil {
+	case err != nil:
 		return &refusal{reason: "the caller broke off: " + err.Error(), abort: true}
 	}
+	drain.NoteRequestRead(x.r.Context())
 	x.input, x.body = body, body
 	return nil
 }
@@ -217,12 +223,16 @@
 	return errors.Trace(c.SetWriteDeadline(x.callerDeadline.Add(writeMargin)))
 }
 
-func readAll(r io.Reader, length int64) ([]byte, error) {
+// readAll reads a body of the given length, or up to its end if that is negative.
+func (x *exchange) readAll(r io.Reader, length, limit int64) ([]byte, error) {
 	if length < 0 {
-		return io.ReadAll(r)
+		// The reader fails for the byte beyond its limit.
+		return x.readReserved(r, length, int(limit)+1)
+	}
+	body, err := x.readReserved(r, length, int(length))
+	if err == nil && int64(len(body)) < length {
+		err = io.ErrUnexpectedEOF
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
 	return body, err
 }
 
@@ -276,6 +286,9 @@
 	for _, t := range chain {
 		size += len(t.Input) + len(t.Output)
 	}
+	if err := x.reserve(size); err != nil {
+		return x.refuseMemory(err)
+	}
 	x.body = make([]byte, 0, size)
 	for _, t := range chain {
 		x.body = append(append(x.body, t.Input...), t.Output...)
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -208,6 +208,7 @@
 	timer := time.AfterFunc(time.Until(x.attemptDeadline(d)), cancel)
 	defer timer.Stop()
 	x.current = x.proxy.attempts.begin(u.ID, x.silenceCancel(cancel))
+	x.current.stop = cancel
 	defer x.current.end()
 
 	ctx = relay.WithCheck(ctx, relay.Check{ID: x.call.ID, Accepts: x.isAnswer, Refused: x.isRefusal})
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthorntide/buckthorntide/budget"
 	"github.com/buckthorntide/buckthorntide/drain"
+	"github.com/buckthorntide/buckthorntide/memory"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/poison"
 	"github.com/buckthorntide/buckthorntide/resume"
@@ -105,8 +106,6 @@
 		// ColdBurst is how many requests beyond its rate a cold upstream can take
 		// in a second, as a fraction of the rate.
 		ColdBurst float64
-		// OutputBytes bounds the outputs that all turns in progress keep.
-		OutputBytes int
 	}
 
 	// Deps are the proxy's dependencies.
@@ -121,6 +120,8 @@
 		Streams Streams
 		Picker  Picker
 		Crashes Crashes
+		// Memory bounds what all requests hold.
+		Memory *memory.Account
 		// Transport returns relay.ErrNotSent for a request of which nothing was sent.
 		Transport http.RoundTripper
 	}
@@ -133,13 +134,12 @@
 		attempts *attempts
 		config   atomic.Pointer[Config]
 		drain    drain.State
-		outputs  outputs
 	}
 )
 
 // NewProxy returns a proxy with the given dependencies and settings.
 func NewProxy(parts Deps, config Config) *Proxy {
-	g := &Proxy{Deps: parts, meter: newMeter(parts.Metrics), attempts: newAttempts()}
+	g := &Proxy{Deps: parts, meter: newMeter(parts.Metrics, parts.Memory), attempts: newAttempts()}
 	g.Configure(config)
 	return g
 }
@@ -151,10 +151,10 @@
 func (g *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := newExchange(g, w, r)
 	defer x.report()
+	defer x.held.Close()
 	if !x.admit() {
 		return
 	}
 	defer x.release()
-	defer x.releaseOutput()
 	x.forward()
 }
--- a/proxy/record.go
+++ b/proxy/record.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/drain"
+	"github.com/buckthorntide/buckthorntide/memory"
 )
 
 // Sample sizes of the latency histograms.
@@ -62,10 +63,17 @@
 		failed   metrics.Counter
 		total    metrics.Histogram
 		first    metrics.Histogram
+		// memoryRefused counts reservations that were refused, memoryYielded requests that
+		// were evicted for others.
+		memoryRefused metrics.Counter
+		memoryYielded metrics.Counter
 	}
 )
 
-func newMeter(registry metrics.Registry) *meter {
+func newMeter(registry metrics.Registry, account *memory.Account) *meter {
+	registry.GetOrRegister("memory.used", func() metrics.Gauge {
+		return metrics.NewFunctionalGauge(func() int64 { return int64(account.Used()) })
+	})
 	sample := func() metrics.Sample { return metrics.NewExpDecaySample(sampleSize, sampleAlpha) }
 	return &meter{
 		requests: metrics.GetOrRegisterCounter("gate.requests", registry),
@@ -73,6 +81,9 @@
 		failed:   metrics.GetOrRegisterCounter("gate.failed", registry),
 		total:    metrics.GetOrRegisterHistogram("gate.totalMs", registry, sample()),
 		first:    metrics.GetOrRegisterHistogram("gate.firstByteMs", registry, sample()),
+
+		memoryRefused: metrics.GetOrRegisterCounter("memory.refused", registry),
+		memoryYielded: metrics.GetOrRegisterCounter("memory.yielded", registry),
 	}
 }
 
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -12,8 +12,15 @@
 
 // relayResponse forwards a non-streaming answer.
 func (x *exchange) relayResponse(u *site.Upstream, d *delivery, resp *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer))
-	if err != nil {
+	expected := resp.ContentLength
+	if resp.Body == http.NoBody {
+		expected = 0
+	}
+	body, err := x.readReserved(resp.Body, expected, maxBufferedAnswer)
+	// An answer that the memory doesn't suffice for is relayed as a large one.
+	whole := err == nil && len(body) < maxBufferedAnswer
+	if err != nil && !lacksMemory(err) {
+		x.held.Release(cap(body))
 		x.noteFailure(u, err, x.deadline(), true)
 		x.addTrail(u, "broke off: "+x.failureCause(err))
 		return mayHaveRun
@@ -22,12 +29,15 @@
 	x.addTrail(u, resp.Status)
 	answer := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError && x.repeatable() {
-		if len(body) < maxBufferedAnswer {
-			d.failure = answer
+		if whole {
+			d.failure, answer = answer, d.failure
+		}
+		if answer != nil {
+			x.held.Release(cap(answer.body))
 		}
 		return failedAnswer
 	}
-	if len(body) == maxBufferedAnswer {
+	if !whole {
 		return x.relayLargeResponse(answer, resp)
 	}
 	x.writeResponse(answer)
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,18 +9,29 @@
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/memory"
 	"github.com/buckthorntide/buckthorntide/pick"
 	"github.com/buckthorntide/buckthorntide/site"
 	"github.com/buckthorntide/buckthorntide/turns"
 )
 
-// maxTurnOutput bounds the output that is kept of a turn. The store takes 1 MB at a
-// time, so a larger one can't be stored.
-const maxTurnOutput = 1 << 20
+const (
+	// maxTurnOutput bounds the output that is kept of a turn. The store takes 1 MB at a
+	// time, so a larger one can't be stored.
+	maxTurnOutput = 1 << 20
+	// errTurnTooLarge is returned for an output that exceeds maxTurnOutput.
+	errTurnTooLarge = errors.ConstError("the turn is too large")
+)
 
 // relayStream forwards each event once it is complete.
 func (x *exchange) relayStream(u *site.Upstream, d *delivery, resp *http.Response, timer *time.Timer) result {
 	events := newEventReader(resp.Body)
+	events.reserve = x.reserve
+	defer func() { x.held.Release(events.reserved) }()
+	if x.route.Conversation {
+		x.held.Enter(memory.Streaming, x.current.stop, common.Uptime())
+		defer func() { x.held.Enter(memory.Working, nil, common.Uptime()) }()
+	}
 	controller := http.NewResponseController(x.w)
 	for {
 		ev, err := events.next()
@@ -30,6 +41,9 @@
 			x.startStream(u, d, resp)
 			return x.finishStream()
 		}
+		if x.held.Evicted() || lacksMemory(err) {
+			return x.streamLacksMemory(u)
+		}
 		if err != nil {
 			return x.streamFailed(u, err)
 		}
@@ -39,12 +53,17 @@
 			timer.Reset(time.Until(x.callerDeadline))
 		}
 		x.current.noteReceived()
-		if x.route.Conversation && !x.growOutput(len(ev.data)+1) {
-			x.proxy.Picker.Done(u.ID, pick.Broken, common.Uptime())
-			x.addTrail(u, "stream too large for a turn")
-			x.record.reason = "the turn is too large"
-			x.abort()
-			return done
+		if x.route.Conversation {
+			switch err := x.keepOutput(ev); {
+			case lacksMemory(err):
+				return x.streamLacksMemory(u)
+			case err != nil:
+				x.proxy.Picker.Done(u.ID, pick.Broken, common.Uptime())
+				x.addTrail(u, "stream too large for a turn")
+				x.record.reason = err.Error()
+				x.abort()
+				return done
+			}
 		}
 		x.startStream(u, d, resp)
 		if !x.relayEvent(ev, d, controller) {
@@ -80,9 +99,6 @@
 	if ev.id != "" {
 		d.lastEvent = ev.id
 	}
-	if x.route.Conversation && ev.hasData {
-		x.output = append(append(x.output, ev.data...), '\n')
-	}
 	_, err := x.w.Write(ev.raw)
 	if err == nil {
 		err = controller.Flush()
@@ -100,24 +116,25 @@
 	return mayHaveRun
 }
 
-// growOutput reports whether the turn may keep that much more of its output.
-func (x *exchange) growOutput(more int) bool {
-	if !x.keepsOutput {
-		x.keepsOutput = true
-		x.proxy.outputs.begin()
+// streamLacksMemory ends a stream whose turn has no memory. That is no fault of the upstream.
+func (x *exchange) streamLacksMemory(u *site.Upstream) result {
+	x.record.reason = memory.ErrRefused.Error()
+	if x.held.Evicted() {
+		x.proxy.meter.memoryYielded.Inc(1)
+		x.record.reason = memory.ErrEvicted.Error()
 	}
-	if len(x.output)+more > maxTurnOutput || !x.proxy.outputs.grow(x.outputBytes, more, x.config.OutputBytes) {
-		return false
-	}
-	x.outputBytes += more
-	return true
+	x.proxy.Picker.Done(u.ID, pick.Abandoned, common.Uptime())
+	x.addTrail(u, "stream given up for want of memory")
+	x.abort()
+	return done
 }
 
-// releaseOutput gives back the memory of the turn's output.
-func (x *exchange) releaseOutput() {
-	if x.keepsOutput {
-		x.proxy.outputs.end(x.outputBytes)
+// keepOutput keeps the event's data for the turn.
+func (x *exchange) keepOutput(ev event) error {
+	if !ev.hasData {
+		return nil
 	}
+	return x.appendOutput(ev.data)
 }
 
 // finishStream stores the turn before its answer ends. An answer whose turn can't
