Explain where a request would go without sending it

buckthorntide explain asks a running instance, at /explain on its metrics address, for the route, the team and its quota, whether the request is held off, each upstream with what excludes it, and the choice with its reason.

The explanation runs the same selection as Pick on a copy of the picker's observations, and the same admission of quotas on a copy of the bucket, so that it can't disagree with them and changes nothing. The key is sent in the Authorization header, and error messages repeat no argument that may be one.

--- a/boot/app.go
+++ b/boot/app.go
@@ -15,6 +15,7 @@
 
 const usage = `usage: buckthorntide serve [flags]    run an instance
        buckthorntide front [flags]    run an instance on the operators' platform
+       buckthorntide explain [flags]  tell where an instance on that platform would send a request
        buckthorntide demo             run stand-ins, three instances and a few programs
 
 operators' commands:
@@ -44,6 +45,8 @@
 		return a.serve(args[1:])
 	case "front":
 		return a.front(args[1:])
+	case "explain":
+		return a.explain(args[1:])
 	case "demo":
 		return a.demo(args[1:])
 	default:
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -153,6 +153,13 @@
 	return left
 }
 
+// PeekHeldFor is HeldFor for a request that was not sent: it isn't counted.
+func (t *Tracker) PeekHeldFor(r poison.Request) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.HeldFor(r, common.Uptime())
+}
+
 // MayRetry reports whether the request may be sent to another upstream after one that ran
 // it broke off. Crashes that aren't proven yet count as well.
 func (t *Tracker) MayRetry(r poison.Request) bool {
--- a/front/metrics.go
+++ b/front/metrics.go
@@ -9,8 +9,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-// newMetricsHandler serves the metrics as text at /metrics, and the state of the
-// instance as JSON at /dump.
+// newMetricsHandler serves the metrics as text at /metrics, the state of the instance
+// as JSON at /dump, and where a request would go now as JSON at /explain.
 func (f *Front) newMetricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
@@ -18,6 +18,7 @@
 		writeMetrics(w, f.common.Metrics)
 	})
 	mux.HandleFunc("GET /dump", f.serveDump)
+	mux.HandleFunc("GET "+ExplainPath, f.serveExplain)
 	return mux
 }
 
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -189,21 +189,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dropOldRecords(view, req.Now)
+	u, _ := p.selectUpstream(view, req)
+	if u != nil {
+		p.start(u, req)
+	}
+	return u
+}
+
+// selectUpstream returns the upstream for the request and why it was chosen, or nil
+// if none is eligible.
+func (p *Picker) selectUpstream(view *site.View, req Request) (*site.Upstream, Reason) {
 	candidates := p.candidates(view, req, false)
-	if len(candidates) == 0 {
+	onlyEjected := len(candidates) == 0
+	if onlyEjected {
 		// An ejected upstream is better than none.
 		candidates = p.candidates(view, req, true)
 	}
 	for len(candidates) > 0 {
-		i := p.choose(candidates, req)
+		i, reason := p.choose(candidates, req)
 		c := candidates[i]
 		if !c.cold || req.Cold == nil || req.Cold(c.upstream) {
-			p.start(c.upstream, req)
-			return c.upstream
+			if onlyEjected || len(candidates) == 1 {
+				reason = NothingElseLeft
+			}
+			return c.upstream, reason
 		}
 		candidates = slices.Delete(candidates, i, i+1)
 	}
-	return nil
+	return nil, NotChosen
 }
 
 // Done records the outcome of a request at an upstream.
@@ -420,37 +433,37 @@
 	return float64(busy) / float64(max(1, u.Slots))
 }
 
-// choose returns the index of the candidate to try first.
-func (p *Picker) choose(candidates []candidate, req Request) int {
+// choose returns the index of the candidate to try first, and why it is the first.
+func (p *Picker) choose(candidates []candidate, req Request) (int, Reason) {
 	lowest := emptiest(candidates, req)
 	switch {
 	case req.Program != "":
 		return p.chooseForProgram(candidates, lowest, req)
 	case req.Object == "":
-		return lowest
+		return lowest, Emptiest
 	}
 	i := rendezvous(candidates, req.Object, func(candidate) bool { return true })
 	if !candidates[i].cold && candidates[i].fill <= candidates[lowest].fill+objectMargin {
-		return i
+		return i, Rendezvous
 	}
-	return lowest
+	return lowest, Emptiest
 }
 
 // chooseForProgram keeps a program at its last upstream. Otherwise it uses
 // rendezvous hashing with bounded load, so that all instances choose the same
 // upstream unless that is much fuller than the others.
-func (p *Picker) chooseForProgram(candidates []candidate, lowest int, req Request) int {
+func (p *Picker) chooseForProgram(candidates []candidate, lowest int, req Request) (int, Reason) {
 	last := p.lastUpstream(req.Program, req.Now)
 	i := slices.IndexFunc(candidates, func(c candidate) bool { return c.upstream.ID == last })
 	if i >= 0 && !candidates[i].cold && (candidates[i].fill < maxAffinityFill || candidates[i].fill <= candidates[lowest].fill+affinityMargin) {
-		return i
+		return i, LastUpstream
 	}
 	limit := max(minFillLimit, boundedLoadFactor*meanFill(candidates))
 	i = rendezvous(candidates, req.Program, func(c candidate) bool { return !c.cold && c.fill <= limit })
 	if i < 0 {
-		return lowest
+		return lowest, Emptiest
 	}
-	return i
+	return i, Rendezvous
 }
 
 func meanFill(candidates []candidate) float64 {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -37,7 +37,11 @@
 	if !x.proxy.Crashes.Tracks() {
 		return nil
 	}
-	left := x.proxy.Crashes.HeldFor(x.identity())
+	return refuseHeldOff(x.proxy.Crashes.HeldFor(x.identity()))
+}
+
+// refuseHeldOff refuses a request that is held off for the given time, if above 0.
+func refuseHeldOff(left time.Duration) *refusal {
 	if left <= 0 {
 		return nil
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -173,8 +173,8 @@
 	if x.route.Public {
 		return nil
 	}
-	if x.record.configAge > x.config.KeyMaxAge {
-		return x.refuseUndecided("keys may have been withdrawn since they were last read")
+	if refused := x.checkKeyAge(); refused != nil {
+		return refused
 	}
 	x.team = x.view.TeamOfKey(x.call.Key)
 	if x.team == nil {
@@ -183,11 +183,16 @@
 	return nil
 }
 
-func (x *exchange) readBody() *refusal {
-	limit := int64(x.view.Limits.BodyBytes)
-	if limit <= 0 {
-		limit = defaultBodyBytes
+// checkKeyAge refuses every key while withdrawn ones may not be known.
+func (x *exchange) checkKeyAge() *refusal {
+	if x.record.configAge > x.config.KeyMaxAge {
+		return x.refuseUndecided("keys may have been withdrawn since they were last read")
 	}
+	return nil
+}
+
+func (x *exchange) readBody() *refusal {
+	limit := bodyLimit(x.view)
 	if x.r.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	}
@@ -206,6 +211,14 @@
 	return nil
 }
 
+// bodyLimit returns the configuration's limit on the bodies of requests.
+func bodyLimit(view *site.View) int64 {
+	if view.Limits.BodyBytes <= 0 {
+		return defaultBodyBytes
+	}
+	return int64(view.Limits.BodyBytes)
+}
+
 // boundCaller bounds the read of the body, for a caller that sends no more of it, and
 // the writes, for one that reads no more of its answer. The server lifts the first
 // bound at the end of the body, and the second one after the request.
@@ -230,7 +243,7 @@
 	if x.team == nil || x.team.Rate <= 0 {
 		return nil
 	}
-	q := share.NewQuota("team/"+x.team.Name, x.team.Rate, x.team.Burst, x.config.QuotaWindow)
+	q := x.teamQuota()
 	opens := x.opensProgram()
 	timeout := quotaTimeout
 	if opens {
@@ -238,13 +251,21 @@
 	}
 	if !x.proxy.Quotas.Admit(x.r.Context(), q, opens, timeout) {
 		x.record.quotaLevel = x.proxy.Quotas.Level(q).String()
-		reason := fmt.Sprintf("the team's quota of %g a second and a burst of %g is used up", x.team.Rate, x.team.Burst)
-		return &refusal{status: http.StatusTooManyRequests, reason: reason, retryAfter: quotaRetryAfter(q)}
+		return x.refuseOverQuota(q)
 	}
 	x.quota = &q
 	return nil
 }
 
+func (x *exchange) teamQuota() share.Quota {
+	return share.NewQuota("team/"+x.team.Name, x.team.Rate, x.team.Burst, x.config.QuotaWindow)
+}
+
+func (x *exchange) refuseOverQuota(q share.Quota) *refusal {
+	reason := fmt.Sprintf("the team's quota of %g a second and a burst of %g is used up", x.team.Rate, x.team.Burst)
+	return &refusal{status: http.StatusTooManyRequests, reason: reason, retryAfter: quotaRetryAfter(q)}
+}
+
 // opensProgram reports whether the request looks like the first of a program.
 func (x *exchange) opensProgram() bool {
 	return x.call.Program != "" && x.service.Model != nil && x.call.PreviousTurn == "" &&
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -150,16 +150,20 @@
 }
 
 func (x *exchange) pick(d *delivery) *site.Upstream {
-	return x.proxy.Picker.Pick(x.proxy.Views.View(), pick.Request{
+	return x.proxy.Picker.Pick(x.proxy.Views.View(), x.pickRequest(d.tried, x.allowedVersions(d), x.admitCold))
+}
+
+func (x *exchange) pickRequest(tried, versions []string, cold func(u *site.Upstream) bool) pick.Request {
+	return pick.Request{
 		Service:  x.service.Name,
 		Program:  x.affinityProgram(),
 		Object:   x.call.Object,
 		Domain:   x.config.FailureDomain,
-		Tried:    d.tried,
-		Versions: x.allowedVersions(d),
-		Cold:     x.admitCold,
+		Tried:    tried,
+		Versions: versions,
+		Cold:     cold,
 		Now:      common.Uptime(),
-	})
+	}
 }
 
 // affinityProgram returns the program whose earlier requests a model's upstream
@@ -173,14 +177,16 @@
 
 // admitCold takes a token from the rate limit of a cold upstream.
 func (x *exchange) admitCold(u *site.Upstream) bool {
-	if x.service.ColdPerSecond <= 0 {
-		return true
-	}
-	return x.proxy.Quotas.AdmitLocal(share.Quota{
+	return x.service.ColdPerSecond <= 0 || x.proxy.Quotas.AdmitLocal(x.coldQuota(u))
+}
+
+// coldQuota limits the requests to a cold upstream.
+func (x *exchange) coldQuota(u *site.Upstream) share.Quota {
+	return share.Quota{
 		Name:  "cold/" + u.ID,
 		Rate:  x.service.ColdPerSecond,
 		Burst: max(1, x.service.ColdPerSecond*x.config.ColdBurst),
-	})
+	}
 }
 
 // cancelsOnDisconnect reports whether the upstream's work is cancelled when the
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -37,6 +37,8 @@
 		AdmitLocal(q share.Quota) bool
 		Return(q share.Quota)
 		Level(q share.Quota) share.Level
+		// Peek returns the level, and whether Admit would find a token, and takes none.
+		Peek(q share.Quota, opens bool) (share.Level, share.Prospect)
 	}
 
 	// Budgets limit the tokens that a program may generate.
@@ -54,6 +56,8 @@
 	Streams interface {
 		// Versions returns those at which streams of the service may begin.
 		Versions(ctx context.Context, service string) []string
+		// ListedVersions returns those that are listed now, without waiting for others.
+		ListedVersions(service string) []string
 		// Began remembers the version that began a stream, whose caller waits for the
 		// given time.
 		Began(s resume.Stream, origin resume.Origin, left time.Duration)
@@ -64,6 +68,8 @@
 	// Picker chooses upstreams.
 	Picker interface {
 		Pick(view *site.View, need pick.Request) *site.Upstream
+		// Explain returns what Pick would choose now, and why, and changes nothing.
+		Explain(view *site.View, need pick.Request) pick.Explanation
 		Done(upstream string, outcome pick.Outcome, now time.Duration)
 		ReportLoad(upstream string, load pick.Load, now time.Duration)
 		// ReportLeaving records that the upstream has announced its shutdown and
@@ -82,6 +88,8 @@
 		Tracks() bool
 		// HeldFor returns how much longer the request must not run, or 0.
 		HeldFor(r poison.Request) time.Duration
+		// PeekHeldFor is HeldFor for a request that was not sent.
+		PeekHeldFor(r poison.Request) time.Duration
 		// MayRetry reports whether another upstream may run the request after one that
 		// broke it off.
 		MayRetry(r poison.Request) bool
--- a/resume/tracker.go
+++ b/resume/tracker.go
@@ -224,6 +224,15 @@
 	}
 }
 
+// ListedVersions returns the versions at which streams of the service may begin, as
+// far as they are listed now. Unlike Versions it neither waits nor asks for a listing.
+func (t *Tracker) ListedVersions(service string) []string {
+	if age, ok := t.views.Age(t.now()); !ok || age > maxViewAge {
+		return []string{}
+	}
+	return active(t.versions(service))
+}
+
 // survey reports whether the service has upstreams of the listed versions that take
 // requests, and whether it has upstreams of other versions.
 func survey(view *site.View, service string, listed []string) (usable, unlisted bool) {
--- a/share/limiter.go
+++ b/share/limiter.go
@@ -75,5 +75,11 @@
 // Level returns the state of the instance's share of the quota.
 func (l *Limiter) Level(q Quota) Level { return l.buckets.Level(q, common.Uptime()) }
 
+// Peek returns the level of the quota's share, and whether Admit would find a token,
+// and takes none.
+func (l *Limiter) Peek(q Quota, opens bool) (Level, Prospect) {
+	return l.buckets.Peek(q, opens, common.Uptime())
+}
+
 // Return puts back the token of a request that didn't run.
 func (l *Limiter) Return(q Quota) { l.buckets.Return(q, common.Uptime()) }
