--- a/boot/explain.go
+++ b/boot/explain.go
@@ -267,10 +267,14 @@
 }
 
 func heldText(milliseconds int64) string {
-	if milliseconds <= 0 {
+	switch {
+	case milliseconds < 0:
+		return "not checked, refused before"
+	case milliseconds == 0:
 		return "no"
+	default:
+		return fmt.Sprintf("for %d ms, because it crashed upstreams", milliseconds)
 	}
-	return fmt.Sprintf("for %d ms, because it crashed upstreams", milliseconds)
 }
 
 func retryText(milliseconds int64) string {
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -13,6 +13,8 @@
 	// stateReady and stateDraining are the states of upstreams in explanations.
 	stateReady    = "ready"
 	stateDraining = "draining"
+	// notCompared is the HeldForMs of a request that is refused before.
+	notCompared = -1
 	// noteTargets is given if another ID may lead to another service.
 	noteTargets = "the route has several services; without a program, the request's ID decides which one is used"
 	// noteLoan is given if the decision isn't made by this instance alone.
@@ -37,7 +39,8 @@
 		// Team is empty on public routes and if the key is unknown.
 		Team  string            `json:"team,omitempty"`
 		Quota *QuotaExplanation `json:"quota,omitempty"`
-		// HeldForMs is above 0 if the request is held off because it crashed upstreams.
+		// HeldForMs is above 0 if the request is held off because it crashed upstreams, and
+		// -1 if it is refused before it is compared with crashes.
 		HeldForMs int64                 `json:"heldForMs"`
 		Upstreams []UpstreamExplanation `json:"upstreams"`
 		// Refused is set if the request would be refused; there is no choice then.
@@ -113,7 +116,7 @@
 		start:  time.Now(),
 		input:  q.Body,
 	}
-	e := Explanation{Upstreams: []UpstreamExplanation{}}
+	e := Explanation{HeldForMs: notCompared, Upstreams: []UpstreamExplanation{}}
 	refused := x.findRoute()
 	if x.route != nil {
 		e.Route = &RouteExplanation{Name: x.route.Name, Host: x.route.Host, Prefix: x.route.Prefix, Public: x.route.Public}
