Place callers by size and weigh load by pace

Programs and objects are placed by weighted rendezvous hashing with bounded fill (package place). The weight is an upstream's slots, divided by its quantized long-term pace where it reports one. Equal weights order upstreams exactly as before.

A busy slot counts for as long as work takes there now: the fill is multiplied by the reported pace, smoothed over a second and clamped to a quarter to four times.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/buckthorntide/buckthorntide/common"
+	"github.com/buckthorntide/buckthorntide/place"
 	"github.com/buckthorntide/buckthorntide/site"
 )
 
@@ -28,12 +28,10 @@
 	// affinityMargin is how much fuller than the emptiest upstream a full one may
 	// be for a program to stay.
 	affinityMargin = 0.5
-	// minFillLimit is the fill up to which an upstream takes the new programs
-	// that rendezvous hashing assigns to it, however empty others are.
-	minFillLimit = 0.6
-	// boundedLoadFactor limits the fill to a multiple of the mean once that is
-	// higher than minFillLimit.
-	boundedLoadFactor = 1.25
+	// nearTie is how much fuller than the emptiest upstream one may be to count as
+	// just as empty where upstreams report a pace, which makes equal fills rare.
+	// Instances that see the same figures would otherwise all choose the same one.
+	nearTie = 0.05
 	// objectMargin is how much fuller than the emptiest upstream the one that
 	// holds an object may be.
 	objectMargin = 0.34
@@ -94,6 +92,9 @@
 		Running int
 		Waiting int
 		Slots   int
+		// Pace is how long work takes there now, in percent of the usual; 0 means
+		// unknown.
+		Pace int
 	}
 
 	// Request describes a request that needs an upstream.
@@ -132,8 +133,13 @@
 	State struct {
 		// InFlight counts this instance's requests in flight there.
 		InFlight int `json:"inFlight"`
-		// Fill estimates running and waiting requests as a share of the slots.
+		// Fill estimates running and waiting requests as a share of the slots,
+		// weighted by the pace.
 		Fill float64 `json:"fill"`
+		// Pace is the recent pace that the fill includes, in percent; 0 if unknown.
+		Pace int `json:"pace"`
+		// Size is its weight in the placement of programs and objects.
+		Size float64 `json:"size"`
 		// Failures counts consecutive broken answers.
 		Failures int `json:"failures"`
 		// EjectedForMs is the time left of its ejection, in milliseconds.
@@ -148,6 +154,7 @@
 		load           Load
 		loadAt         time.Duration
 		inFlightAtLoad int
+		pace           pace
 		failures       int
 		ejectedUntil   time.Duration
 		// endedWeight and failedWeight count recent requests, decayed until
@@ -170,6 +177,12 @@
 		upstream *site.Upstream
 		fill     float64
 		cold     bool
+		// size is the upstream's weight for programs and objects.
+		size float64
+		// speed is its weight among upstreams that are equally empty.
+		speed float64
+		// paced is set if the fill includes a pace.
+		paced bool
 	}
 )
 
@@ -300,6 +313,7 @@
 	defer p.mu.Unlock()
 	r := p.record(upstream, now)
 	r.load, r.loadAt, r.inFlightAtLoad = load, now, r.inFlight
+	r.pace.report(load.Pace, now)
 }
 
 // State returns the observations of the upstream.
@@ -307,9 +321,15 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.record(u.ID, now)
+	percent := 0
+	if factor, known := r.pace.current(now); known {
+		percent = int(math.Round(factor * nominalPace))
+	}
 	return State{
 		InFlight:     r.inFlight,
 		Fill:         r.fill(u, now),
+		Pace:         percent,
+		Size:         r.size(u, now),
 		Failures:     r.failures,
 		EjectedForMs: max(0, r.ejectedUntil-now).Milliseconds(),
 		Leaving:      r.departures.includes(u.Incarnation, now),
@@ -399,17 +419,24 @@
 		if !includeEjected && r.ejectedUntil > req.Now {
 			continue
 		}
+		factor, paced := r.pace.current(req.Now)
+		if !paced {
+			factor = r.pace.longTerm(req.Now)
+		}
 		candidates = append(candidates, candidate{
 			upstream: u,
 			fill:     r.fill(u, req.Now),
 			cold:     u.ColdUntil > req.Now,
+			size:     r.size(u, req.Now),
+			speed:    1 / factor,
+			paced:    paced,
 		})
 	}
 	return candidates
 }
 
 // fill estimates the running and waiting requests as a share of the upstream's
-// slots.
+// slots. Where work takes longer than usual, each request counts for more.
 func (r *record) fill(u *site.Upstream, now time.Duration) float64 {
 	busy := r.inFlight
 	if r.loadAt > 0 && now-r.loadAt < loadTTL {
@@ -417,7 +444,14 @@
 		// that it came with.
 		busy = max(busy, r.load.Running+r.load.Waiting+r.inFlight-r.inFlightAtLoad)
 	}
-	return float64(busy) / float64(max(1, u.Slots))
+	factor, _ := r.pace.current(now)
+	return factor * float64(busy) / float64(max(1, u.Slots))
+}
+
+// size returns the upstream's weight: its slots, fewer where work has taken longer
+// than usual for long.
+func (r *record) size(u *site.Upstream, now time.Duration) float64 {
+	return float64(max(1, u.Slots)) / r.pace.longTerm(now)
 }
 
 // choose returns the index of the candidate to try first.
@@ -445,7 +479,7 @@
 	if i >= 0 && !candidates[i].cold && (candidates[i].fill < maxAffinityFill || candidates[i].fill <= candidates[lowest].fill+affinityMargin) {
 		return i
 	}
-	limit := max(minFillLimit, boundedLoadFactor*meanFill(candidates))
+	limit := place.FillLimit(candidates, func(c candidate) float64 { return c.fill })
 	i = rendezvous(candidates, req.Program, func(c candidate) bool { return !c.cold && c.fill <= limit })
 	if i < 0 {
 		return lowest
@@ -453,52 +487,37 @@
 	return i
 }
 
-func meanFill(candidates []candidate) float64 {
-	sum := 0.0
-	for _, c := range candidates {
-		sum += c.fill
-	}
-	return sum / float64(len(candidates))
-}
-
 // emptiest returns the warm candidate with the lowest fill, or the emptiest
-// cold one. The request breaks ties, so that instances with the same view don't
+// cold one. Among those that are equally empty it prefers the instance's failure
+// domain, then the request decides, so that instances with the same view don't
 // all choose the first.
 func emptiest(candidates []candidate, req Request) int {
 	salt := req.Program + req.Object + req.Domain + strconv.FormatInt(int64(req.Now), 10)
-	best := 0
-	for i := 1; i < len(candidates); i++ {
-		if better(candidates[i], candidates[best], req.Domain, salt) {
-			best = i
+	allCold := !slices.ContainsFunc(candidates, func(c candidate) bool { return !c.cold })
+	lowest, margin := math.Inf(1), 0.0
+	for _, c := range candidates {
+		if c.cold != allCold {
+			continue
+		}
+		lowest = min(lowest, c.fill)
+		if c.paced {
+			margin = nearTie
 		}
 	}
-	return best
-}
-
-func better(a, b candidate, domain, salt string) bool {
-	if a.cold != b.cold {
-		return b.cold
-	}
-	if a.fill != b.fill {
-		return a.fill < b.fill
-	}
-	if aNear, bNear := a.upstream.FailureDomain == domain, b.upstream.FailureDomain == domain; aNear != bNear {
-		return aNear
-	}
-	return common.RendezvousScore(a.upstream.ID, salt) > common.RendezvousScore(b.upstream.ID, salt)
+	tied := func(c candidate) bool { return c.cold == allCold && c.fill <= lowest+margin }
+	anyNear := slices.ContainsFunc(candidates, func(c candidate) bool {
+		return tied(c) && c.upstream.FailureDomain == req.Domain
+	})
+	return place.Choose(candidates, salt, func(c candidate) (place.Member, bool) {
+		eligible := tied(c) && (!anyNear || c.upstream.FailureDomain == req.Domain)
+		return place.Member{Name: c.upstream.ID, Size: c.speed}, eligible
+	})
 }
 
-// rendezvous returns the index of the eligible candidate with the highest score
-// for the name, or -1.
+// rendezvous returns the index of the eligible candidate that the name is assigned
+// to, or -1.
 func rendezvous(candidates []candidate, name string, fits func(c candidate) bool) int {
-	best, highest := -1, uint64(0)
-	for i, c := range candidates {
-		if !fits(c) {
-			continue
-		}
-		if s := common.RendezvousScore(c.upstream.ID, name); best < 0 || s > highest {
-			best, highest = i, s
-		}
-	}
-	return best
+	return place.Choose(candidates, name, func(c candidate) (place.Member, bool) {
+		return place.Member{Name: c.upstream.ID, Size: c.size}, fits(c)
+	})
 }
--- a/proxy/forward.go
+++ b/proxy/forward.go
@@ -355,7 +355,9 @@
 // another answer, or of another upstream at the address, don't show whose state they hold.
 func (x *exchange) noteState(u *site.Upstream, answer Answer, now time.Duration) {
 	if answer.HasLoad {
-		x.proxy.Picker.ReportLoad(u.ID, pick.Load{Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots}, now)
+		x.proxy.Picker.ReportLoad(u.ID, pick.Load{
+			Running: answer.Running, Waiting: answer.Waiting, Slots: answer.Slots, Pace: answer.Pace,
+		}, now)
 	}
 	if answer.Leaving && x.proxy.Picker.ReportLeaving(u, now) {
 		x.proxy.Log.Info("upstream announces its shutdown; sending it no more requests", "request", x.call.ID,
