Play random orders around one outage against the budget

The model gets rosters that lag and processes that register late. New random tests play it in simulated time with the durations of production: a transaction lasts up to 1.5 s, which the shortened record delay of 40 ms doesn't cover.

--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,17 +28,52 @@
 	siteTurnTimeout    = 10 * time.Millisecond
 )
 
+var (
+	shortTimes = siteTimes{
+		recordDelay: siteRecordDelay, recordInterval: siteRecordInterval, storeTimeout: siteStoreTimeout,
+		turn: siteTurnTimeout, roster: siteRecordDelay / 2,
+	}
+	// productionTimes are for simulated time. A transaction may last as long as
+	// budget.RecordDelay; with a shorter delay, the home's reply to it is outdated when it
+	// takes effect.
+	productionTimes = siteTimes{
+		recordDelay: budget.RecordDelay, recordInterval: budget.RecordInterval, storeTimeout: budget.StoreTimeout,
+		turn: time.Second, roster: time.Second, outageGap: 2 * time.Second,
+	}
+)
+
 type (
+	// siteTimes are the durations of sites.
+	siteTimes struct {
+		recordDelay    time.Duration
+		recordInterval time.Duration
+		storeTimeout   time.Duration
+		// turn is how long a turn or a planned stop lasts at most.
+		turn time.Duration
+		// roster is how late an instance that lags reads the list of instances; others
+		// may use a former home for less than recordDelay.
+		roster time.Duration
+		// outageGap is the time between losses from which they count as of different
+		// outages, as in package roster.
+		outageGap time.Duration
+	}
+
 	// sites are instances of which the first one present is the home of the program.
 	sites struct {
+		times     siteTimes
 		mu        sync.Mutex
+		begun     time.Time
 		memory    *rows.Memory
 		down      bool
 		reachedAt time.Duration
+		// changedAt is when the store's list last assigned the program anew.
+		changedAt time.Duration
 		members   []*member
-		losses    [][]string
-		started   int
-		opened    []*budget.Ledger
+		// losses are the lost processes of each outage; lostAt is when the last was noticed.
+		losses  [][]string
+		lostAt  time.Duration
+		started int
+		opened  []*budget.Ledger
 	}
 
 	// member is one instance, whose process may be replaced.
@@ -57,6 +94,13 @@
 		cutUntil    time.Duration
 		homeSince   time.Duration
 		heavyReadAt time.Duration
+		// home is the program's home in the list as this instance last read it, movedAt
+		// when that last changed. lagging: it reads the list late. unregistered: the
+		// process runs, but hasn't registered yet although it reaches the store.
+		home         *member
+		movedAt      time.Duration
+		lagging      bool
+		unregistered bool
 	}
 
 	// memberStore is the store as one process reaches it.
@@ -71,7 +115,7 @@
 		return 0, rows.ErrNotDone
 	}
 	if s.member.late.CompareAndSwap(true, false) {
-		time.AfterFunc(siteTurnTimeout, func() {
+		time.AfterFunc(s.member.sites.times.turn, func() {
 			// Nobody hears of the outcome.
 			_, _ = s.Store.Commit(context.Background(), txn)
 		})
@@ -80,8 +124,8 @@
 	return s.Store.Commit(ctx, txn)
 }
 
-func newSites(n int) *sites {
-	s := &sites{memory: rows.NewMemory()}
+func newSites(n int, times siteTimes) *sites {
+	s := &sites{times: times, memory: rows.NewMemory(), begun: time.Now()}
 	for range n {
 		s.members = append(s.members, &member{sites: s})
 	}
@@ -91,6 +135,9 @@
 	return s
 }
 
+// now returns the time since the start, which is simulated in a synctest bubble.
+func (s *sites) now() time.Duration { return time.Since(s.begun) }
+
 func (s *sites) close() {
 	for _, l := range s.opened {
 		l.Close()
@@ -102,9 +149,9 @@
 	s.mu.Lock()
 	s.started++
 	holder := fmt.Sprintf("front#%d", s.started)
-	m.running, m.listed, m.frozen, m.leaving, m.heavyReadAt = true, false, false, false, 0
+	m.running, m.listed, m.frozen, m.leaving, m.lagging, m.heavyReadAt = true, false, false, false, false, 0
 	m.cut.Store(false)
-	started := common.Uptime()
+	m.home = s.homeLocked()
 	m.ledger = budget.NewLedger(hclog.NewNullLogger(), &memberStore{Store: s.memory, member: m}, m, holder, budget.Config{
 		StoreDown: func() bool {
 			s.mu.Lock()
@@ -117,14 +164,16 @@
 			if s.down || m.cut.Load() {
 				return 0
 			}
-			return common.Uptime() - max(started, s.reachedAt, m.cutUntil)
+			// A new process learns from its peers how long the store has been reachable.
+			return s.now() - max(s.reachedAt, m.cutUntil)
 		},
 		HeavyReadAt: func() time.Duration {
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			return m.heavyReadAt
 		},
-		IdleTTL: time.Minute, RecordDelay: siteRecordDelay, StoreTimeout: siteStoreTimeout, RecordInterval: siteRecordInterval,
+		IdleTTL: time.Minute, RecordDelay: s.times.recordDelay, StoreTimeout: s.times.storeTimeout,
+		RecordInterval: s.times.recordInterval,
 	})
 	s.opened = append(s.opened, m.ledger)
 	s.mu.Unlock()
@@ -137,21 +186,59 @@
 	s.readHeavy(m)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.down || m.cut.Load() || !m.running || m.listed {
+	if s.down || m.cut.Load() || !m.running || m.listed || m.unregistered {
 		return
 	}
-	before := s.homeLocked()
+	before := s.readRosters()
 	if m.row != "" {
-		s.losses = append(s.losses, []string{m.row})
+		s.lose(m.row)
 	}
-	m.listed, m.row, m.homeSince = true, m.ledger.Holder(), common.Uptime()
+	m.listed, m.row, m.homeSince = true, m.ledger.Holder(), s.now()
 	s.moved(before)
 }
 
+// lose records the loss of a process. The caller holds the lock.
+func (s *sites) lose(holder string) {
+	now := s.now()
+	if n := len(s.losses); n > 0 && now < s.lostAt+s.times.outageGap {
+		s.losses[n-1] = append(s.losses[n-1], holder)
+	} else {
+		s.losses = append(s.losses, []string{holder})
+	}
+	s.lostAt = now
+}
+
 // moved records that the program may have another home. The caller holds the lock.
 func (s *sites) moved(before *member) {
-	if home := s.homeLocked(); home != nil && home != before {
-		home.homeSince = common.Uptime()
+	if s.homeLocked() != before {
+		s.changedAt = s.now()
+	}
+	s.readRosters()
+}
+
+// readRosters lets the instances read the list before it changes or can't be read. It
+// returns the home. The caller holds the lock.
+func (s *sites) readRosters() *member {
+	for _, m := range s.members {
+		s.readRoster(m)
+	}
+	return s.homeLocked()
+}
+
+// readRoster updates the home that the instance knows, unless it lags or doesn't reach
+// the store. The caller holds the lock.
+func (s *sites) readRoster(m *member) {
+	readAt := max(s.changedAt, s.reachedAt, m.cutUntil)
+	if m.lagging {
+		readAt += s.times.roster
+	}
+	home := s.homeLocked()
+	if s.down || m.cut.Load() || s.now() < readAt || home == m.home {
+		return
+	}
+	m.home, m.movedAt = home, readAt
+	if home == m {
+		m.homeSince = readAt
 	}
 }
 
@@ -171,7 +258,7 @@
 	if m.cut.Load() || !m.running {
 		return
 	}
-	at := common.Uptime()
+	at := s.now()
 	parts, err := s.memory.Parts(context.Background(), budget.HeavyTable)
 	if err != nil {
 		return
@@ -197,7 +284,8 @@
 		s.memory.SetFault(nil, false)
 	}
 	s.mu.Lock()
-	s.down, s.reachedAt = down, common.Uptime()
+	s.readRosters()
+	s.down, s.reachedAt = down, s.now()
 	s.mu.Unlock()
 	if !down {
 		for _, m := range s.members {
@@ -209,13 +297,13 @@
 // stop stops the process as planned. Its row stays if it couldn't record its grants.
 func (s *sites) stop(m *member) {
 	s.mu.Lock()
-	before := s.homeLocked()
+	before := s.readRosters()
 	if !s.down && !m.cut.Load() {
 		m.leaving = true
 	}
 	s.moved(before)
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), siteTurnTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.times.turn)
 	m.ledger.Drain(ctx)
 	cancel()
 	s.mu.Lock()
@@ -240,21 +328,22 @@
 	if s.down || m.row == "" || (m.running && !m.frozen && !m.cut.Load()) {
 		return
 	}
-	before := s.homeLocked()
-	s.losses = append(s.losses, []string{m.row})
+	before := s.readRosters()
+	s.lose(m.row)
 	m.row, m.listed = "", false
 	s.moved(before)
 }
 
-// home returns the home if its process answers.
-func (s *sites) home() (*member, error) {
+// answeringHome returns the home that the instance knows if its process answers.
+func (m *member) answeringHome() (*member, error) {
+	s := m.sites
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := s.homeLocked()
-	if m == nil || !m.running || m.frozen {
+	s.readRoster(m)
+	if m.home == nil || !m.home.running || m.home.frozen {
 		return nil, errGone
 	}
-	return m, nil
+	return m.home, nil
 }
 
 func (m *member) Release(_ context.Context, holder, program string) (int, error) {
@@ -274,7 +363,7 @@
 }
 
 func (m *member) RequestProvisional(_ context.Context, holder, program string, total, maxTokens int) (int, error) {
-	home, err := m.sites.home()
+	home, err := m.answeringHome()
 	if err != nil {
 		return 0, err
 	}
@@ -282,7 +371,7 @@
 }
 
 func (m *member) EndProvisionals(_ context.Context, program string) (budget.Ended, error) {
-	home, err := m.sites.home()
+	home, err := m.answeringHome()
 	if err != nil {
 		return budget.Ended{}, err
 	}
@@ -292,12 +381,15 @@
 func (m *member) HomeSince(string) (time.Duration, bool) {
 	m.sites.mu.Lock()
 	defer m.sites.mu.Unlock()
-	return m.homeSince, m.listed && m.sites.homeLocked() == m
+	m.sites.readRoster(m)
+	return m.homeSince, m.listed && m.home == m
 }
 
-func (m *member) WasHome(program string, _ time.Duration) bool {
-	_, ok := m.HomeSince(program)
-	return ok
+func (m *member) WasHome(_ string, within time.Duration) bool {
+	m.sites.mu.Lock()
+	defer m.sites.mu.Unlock()
+	m.sites.readRoster(m)
+	return m.listed && (m.home == m || m.sites.now()-m.movedAt < within)
 }
 
 func (m *member) Losses(string) []string {
@@ -306,7 +398,7 @@
 	if len(m.sites.losses) == 0 {
 		return nil
 	}
-	return m.sites.losses[0]
+	return slices.Clone(m.sites.losses[0])
 }
 
 // turn takes one turn of maximum size and returns the tokens that it handed out.
@@ -314,7 +406,7 @@
 	if !m.running || m.frozen {
 		return 0
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), siteTurnTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), m.sites.times.turn)
 	defer cancel()
 	if m.ledger.Reserve(ctx, "p", total, maxTokens, common.Uptime()) != nil {
 		return 0
@@ -339,7 +431,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			for turns := 1; turns <= 9; turns++ {
 				total := turns * maxTokens
-				s := newSites(3)
+				s := newSites(3, shortTimes)
 				time.Sleep(2 * siteRecordDelay)
 				for _, m := range s.members {
 					s.readHeavy(m)
@@ -369,7 +461,7 @@
 // against a new home that doesn't know the program as heavy and grants it more.
 func TestNewHomeGrantsNothingToHeavyPrograms(t *testing.T) {
 	const total, maxTokens = 800, 100
-	s := newSites(2)
+	s := newSites(2, shortTimes)
 	defer s.close()
 	time.Sleep(2 * siteRecordDelay)
 	for _, m := range s.members {
@@ -392,7 +484,7 @@
 // against grants that are refused without need.
 func TestProgramBeginsInACalmOutage(t *testing.T) {
 	const total, maxTokens = 800, 100
-	s := newSites(3)
+	s := newSites(3, shortTimes)
 	defer s.close()
 	time.Sleep(2 * siteRecordDelay)
 	for _, m := range s.members {
@@ -409,7 +501,7 @@
 	const maxTokens = 100
 	rapid.Check(t, func(t *rapid.T) {
 		total := maxTokens * rapid.IntRange(1, 9).Draw(t, "turns")
-		s := newSites(3)
+		s := newSites(3, shortTimes)
 		defer s.close()
 		handed := 0
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -451,8 +543,9 @@
 				s.mu.Unlock()
 			case "cut":
 				s.mu.Lock()
+				s.readRoster(m)
 				m.cut.Store(!m.cut.Load())
-				m.cutUntil = common.Uptime()
+				m.cutUntil = s.now()
 				s.mu.Unlock()
 				s.register(m)
 			case "give up":
@@ -481,3 +574,254 @@
 		}
 	})
 }
+
+// order is a sequence of events and the budget that it is played with.
+type order struct {
+	total int
+	steps []step
+}
+
+// step is one event. Instances are given by their index; listedHome is the home that the
+// store's list assigns the program to at that time, laggingInstance the first that lags.
+type step struct {
+	event    string
+	instance int
+	turns    int
+}
+
+const (
+	listedHome      = -1
+	laggingInstance = -2
+)
+
+// play returns the tokens that the order hands out at three instances.
+func (o order) play(maxTokens int) int {
+	s := newSites(3, productionTimes)
+	defer s.close()
+	handed := 0
+	turns := func(m *member, n int) {
+		for range n {
+			handed += m.turn(o.total, maxTokens)
+		}
+	}
+	for _, p := range o.steps {
+		s.play(p, turns)
+	}
+	s.setDown(false)
+	for _, m := range s.members {
+		m.frozen, m.unregistered = false, false
+		m.cut.Store(false)
+		if !m.running {
+			s.start(m)
+		}
+		s.register(m)
+	}
+	time.Sleep(3 * s.times.recordDelay)
+	for _, m := range s.members {
+		turns(m, 2*o.total/maxTokens)
+	}
+	return handed
+}
+
+// instance returns the instance of a step, or nil if there is none.
+func (s *sites) instance(i int) *member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch i {
+	case listedHome:
+		return s.homeLocked()
+	case laggingInstance:
+		if i := slices.IndexFunc(s.members, func(m *member) bool { return m.lagging }); i >= 0 {
+			return s.members[i]
+		}
+		return nil
+	default:
+		return s.members[i]
+	}
+}
+
+func (s *sites) play(p step, turns func(m *member, n int)) {
+	m := s.instance(p.instance)
+	if m == nil {
+		return
+	}
+	switch p.event {
+	case "turns":
+		turns(m, p.turns)
+	case "down", "up":
+		s.setDown(p.event == "down")
+	case "read":
+		s.readHeavy(m)
+	case "wait":
+		time.Sleep(3 * s.times.recordDelay)
+		for _, m := range s.members {
+			s.readHeavy(m)
+		}
+	case "pause":
+		time.Sleep(s.times.recordDelay / 4)
+	case "stop", "stop if listed":
+		if m.running && (m.listed || p.event == "stop") {
+			s.stop(m)
+		}
+	case "kill":
+		if m.running {
+			s.kill(m)
+		}
+	case "start", "start unregistered":
+		for _, m := range s.members {
+			if !m.running {
+				m.unregistered = p.event == "start unregistered"
+				s.start(m)
+			}
+		}
+	case "register":
+		for _, m := range s.members {
+			m.unregistered = false
+			s.register(m)
+		}
+	case "lag":
+		s.mu.Lock()
+		s.readRoster(m)
+		m.lagging = true
+		s.mu.Unlock()
+	case "freeze":
+		s.mu.Lock()
+		m.frozen = !m.frozen
+		s.mu.Unlock()
+	case "give up":
+		s.giveUp(m)
+	case "late":
+		m.late.Store(true)
+	}
+}
+
+// drawOrder draws an order of episodes with one outage each, in which what was granted is
+// known to one instance only, with other events between their steps.
+func drawOrder(t *rapid.T, maxTokens, episodes int, others []string) order {
+	// A budget of one or two turns leaves no room for grants, and IntRange prefers small
+	// numbers.
+	count := rapid.SampledFrom([]int{1, 2, 3, 4, 6, 8, 9, 12}).Draw(t, "turns")
+	o := order{total: count * maxTokens, steps: []step{{event: "wait"}}}
+	instance := rapid.IntRange(0, 2)
+	add := func(steps ...step) {
+		for _, p := range steps {
+			o.steps = append(o.steps, p)
+			if rapid.IntRange(0, 9).Draw(t, "noise") == 9 {
+				event := rapid.SampledFrom(others).Draw(t, "event")
+				o.steps = append(o.steps, step{event: event, instance: instance.Draw(t, "instance"), turns: 1})
+			}
+		}
+	}
+	turnsAt := func(instance int) step {
+		counts := []int{count, count, (count + 1) / 2, min(count, 2), 1}
+		return step{event: "turns", instance: instance, turns: rapid.SampledFrom(counts).Draw(t, "count")}
+	}
+	turns := func() step { return turnsAt(instance.Draw(t, "instance")) }
+	home := func(event string) step { return step{event: event, instance: listedHome} }
+	all := func(event string) step { return step{event: event} }
+	for range rapid.IntRange(1, episodes).Draw(t, "episodes") {
+		switch rapid.SampledFrom([]string{
+			"home moves when the program is heavy", "home joins before an outage", "home is killed in an outage",
+			"home registers late after an outage",
+		}).Draw(t, "episode") {
+		case "home moves when the program is heavy":
+			// A home that has an allocation of the program grants nothing, so the one that
+			// stops is the more likely to have it.
+			add(turnsAt(rapid.SampledFrom([]int{listedHome, listedHome, 0, 1, 2}).Draw(t, "instance")), home("stop"), all("down"), turns(), turns(), all("up"), turns(), all("start"), all("wait"))
+		case "home joins before an outage":
+			// The former home grants in the outage, and the next one knows nothing of it.
+			add(home("stop"), all("wait"), home("lag"), all("start"), all("down"), turnsAt(laggingInstance), turns(), all("up"),
+				turns(), turns(), all("wait"))
+		case "home is killed in an outage":
+			add(all("down"), turns(), turns())
+			if rapid.Bool().Draw(t, "as the store returns") {
+				add(all("up"), home("kill"))
+			} else {
+				add(home("kill"), all("up"))
+			}
+			add(turns(), all("start"), turns(), all("wait"), turns())
+		case "home registers late after an outage":
+			add(all("down"), turns(), turns(), home("kill"), all("up"), all("wait"), all("start unregistered"), turns(), turns(),
+				all("register"), all("wait"))
+		}
+	}
+	return o
+}
+
+// checkOrders plays random orders of up to the given number of episodes. Time is
+// simulated, so that the load of the machine doesn't change an order.
+func checkOrders(t *testing.T, episodes int, others []string) {
+	t.Helper()
+	const maxTokens = 100
+	rapid.Check(t, func(r *rapid.T) {
+		o := drawOrder(r, maxTokens, episodes, others)
+		handed := 0
+		synctest.Test(t, func(*testing.T) { handed = o.play(maxTokens) })
+		if handed > o.total+maxTokens {
+			r.Fatalf("%d tokens handed out of %d in %v", handed, o.total, o.steps)
+		}
+	})
+}
+
+// Homes that are lost, join, move and register late around an outage, of programs that have
+// spent much, must never hand out more than the budget and one turn. Guards against a new
+// home that grants before it has read the heavy programs, a home that vouches just after an
+// outage, a process that vouches before it is listed, and losses that rows don't count.
+func TestBudgetHoldsAroundOneOutage(t *testing.T) {
+	checkOrders(t, 1, []string{
+		"turns", "read", "pause", "wait", "stop if listed", "kill", "start", "register", "lag", "freeze", "give up", "late",
+	})
+}
+
+// The same with several outages in one order. Guards against grants of several homes, each
+// within the room that rows keep for one.
+func TestBudgetHoldsOverSeveralOutages(t *testing.T) {
+	checkOrders(t, 3, []string{
+		"turns", "read", "pause", "wait", "stop", "kill", "start", "register", "lag", "freeze", "give up", "late", "up", "down",
+	})
+}
+
+// A program spends its budget within the record delay after an outage in which its home
+// granted, and gets another home before the next outage. Guards against a second home that
+// grants because nothing lists the program as heavy.
+func TestSecondHomeGrantsNothingOfASpentBudget(t *testing.T) {
+	const maxTokens = 100
+	o := order{total: 2 * maxTokens, steps: []step{
+		{event: "stop", instance: 0},
+		{event: "wait"},
+		{event: "down"},
+		{event: "turns", instance: 1, turns: 1},
+		{event: "up"},
+		{event: "turns", instance: 2, turns: 2},
+		{event: "wait"},
+		{event: "start"},
+		{event: "wait"},
+		{event: "down"},
+		{event: "turns", instance: 0, turns: 1},
+	}}
+	handed := 0
+	synctest.Test(t, func(*testing.T) { handed = o.play(maxTokens) })
+	assert.Assert(t, handed <= o.total+maxTokens, "%d of %d", handed, o.total)
+}
+
+// A home grants in an outage and is killed, and the next process of its instance is stopped
+// as planned before it registers. Guards against a removal of the former process' row that
+// records no loss.
+func TestStopBeforeRegistrationForgetsNoGrants(t *testing.T) {
+	const maxTokens = 100
+	o := order{total: 2 * maxTokens, steps: []step{
+		{event: "wait"},
+		{event: "down"},
+		{event: "turns", instance: 0, turns: 1},
+		{event: "kill", instance: 0},
+		{event: "up"},
+		{event: "wait"},
+		{event: "start unregistered"},
+		{event: "turns", instance: 0, turns: 2},
+		{event: "stop", instance: 0},
+		{event: "wait"},
+	}}
+	handed := 0
+	synctest.Test(t, func(*testing.T) { handed = o.play(maxTokens) })
+	assert.Assert(t, handed <= o.total+maxTokens, "%d of %d", handed, o.total)
+}
