Remove only the row of this process at a planned stop

A process that was stopped before it had registered removed the row of the process before it under the same name. If that had granted tokens in an outage and was killed, no loss was recorded and the tokens were granted again.

Cause: the removal named the row by the instance alone. It now reads the row, expects its version, and leaves the row of an earlier process to whoever replaces it, which records the loss.

--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -294,7 +294,8 @@
 	}
 }
 
-// stop stops the process as planned. Its row stays if it couldn't record its grants.
+// stop stops the process as planned. Its row stays if it couldn't record its grants, and so
+// does the row of an earlier process.
 func (s *sites) stop(m *member) {
 	s.mu.Lock()
 	before := s.readRosters()
@@ -307,7 +308,7 @@
 	m.ledger.Drain(ctx)
 	cancel()
 	s.mu.Lock()
-	if m.ledger.Recorded() && !s.down && !m.cut.Load() {
+	if m.ledger.Recorded() && !s.down && !m.cut.Load() && m.row == m.ledger.Holder() {
 		m.row = ""
 	}
 	s.mu.Unlock()
--- a/front/stop.go
+++ b/front/stop.go
@@ -82,12 +82,27 @@
 	var removeErr error
 	recorded := f.ledger.Recorded()
 	if recorded {
-		_, removeErr = rows.CommitUntilKnown(deregisterCtx, f.store, f.roster.Removal())
+		removeErr = f.deregister(deregisterCtx)
 	}
 	// Otherwise the row stays, so that whoever replaces it records the loss.
 	f.logDrain("drain finished", "error", err, "rosterError", removeErr, "unsettled", unsettled, "provisionalsRecorded", recorded)
 }
 
+// deregister removes this process' row from the roster.
+func (f *Front) deregister(ctx context.Context) error {
+	row, err := f.ownRow(ctx)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	txn, own := f.roster.Removal(row)
+	if !own {
+		f.log.Info("an earlier process' row stays on the roster", "rowVersion", row.Version)
+		return nil
+	}
+	_, err = rows.CommitUntilKnown(ctx, f.store, txn)
+	return err
+}
+
 // settleBudgets ends the turns' reservations at the programs' homes and drains the
 // ledger, which may take the given time. It returns how many reservations are left.
 func (f *Front) settleBudgets(timeout time.Duration) int {
--- a/roster/loss.go
+++ b/roster/loss.go
@@ -74,8 +74,18 @@
 }
 
 // Removal returns the transaction that removes this instance from the list at the end of
-// a planned stop.
-func (r *Roster) Removal() rows.Txn { return rows.Txn{Removes: []rows.ID{rowID(r.self.Name)}} }
+// a planned stop. It returns false for the row of an earlier process, whose loss is recorded
+// by whoever replaces or removes it.
+func (r *Roster) Removal(row rows.Row) (rows.Txn, bool) {
+	e, err := Decode(row)
+	if err != nil || e.Start != r.self.Start {
+		return rows.Txn{}, false
+	}
+	return rows.Txn{
+		Expect:  []rows.Expectation{{ID: row.ID, Version: row.Version}},
+		Removes: []rows.ID{row.ID},
+	}, true
+}
 
 // RemovalOf returns the transaction that removes another instance that can't be reached.
 func (r *Roster) RemovalOf(lost *Loss) (rows.Txn, error) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -98,12 +98,28 @@
 	assert.NilError(t, err)
 	departure, err := r.Departure(page.Rows[0])
 	assert.NilError(t, err)
-	_, err = store.Commit(t.Context(), r.Removal())
+	removal, own := r.Removal(page.Rows[0])
+	assert.Assert(t, own)
+	_, err = store.Commit(t.Context(), removal)
 	assert.NilError(t, err)
 	_, err = store.Commit(t.Context(), departure)
 	assert.ErrorIs(t, err, rows.ErrConflict)
 }
 
+// Guards against a planned stop that removes the row of the process before, of which no loss
+// would then be recorded.
+func TestRemovalKeepsTheRowOfAnEarlierProcess(t *testing.T) {
+	earlier := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 6})
+	txn, err := earlier.Registration(rows.Row{}, nil)
+	assert.NilError(t, err)
+	row := rows.Row{ID: txn.Writes[0].ID, Value: txn.Writes[0].Value, Version: 3}
+	_, own := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 7}).Removal(row)
+	assert.Assert(t, !own)
+	removal, own := earlier.Removal(row)
+	assert.Assert(t, own)
+	assert.DeepEqual(t, removal.Expect, []rows.Expectation{{ID: row.ID, Version: 3}})
+}
+
 func TestRegistrationRoundTrip(t *testing.T) {
 	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
 	txn, err := roster.NewRoster(e).Registration(rows.Row{}, nil)
