Test ties of idle upstreams and small differences of fill

Two mutations passed all tests: treating small differences of fill as ties where no pace is reported, and choosing between idle upstreams without their speed. The new cases fail on both.

--- a/pick/fleet_test.go
+++ b/pick/fleet_test.go
@@ -196,3 +196,43 @@
 		})
 	}
 }
+
+// Idle upstreams have the same fill, so that a slow one got as many requests as a
+// fast one, also while an instance had no recent figure.
+func TestIdleUpstreamsAreChosenBySpeed(t *testing.T) {
+	const picks = 3000
+	tests := []struct {
+		name  string
+		later time.Duration
+	}{
+		{name: "recent figure"},
+		{name: "expired figure", later: time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			view := newView(9, func(us []*site.Upstream) {
+				for _, u := range us {
+					u.FailureDomain = "a"
+				}
+			})
+			p := pick.NewPicker()
+			now := time.Minute
+			for range 300 {
+				now += 50 * time.Millisecond
+				p.ReportLoad("i-0", pick.Load{Slots: slots, Pace: 400}, now)
+			}
+			chosen := 0
+			for i := range picks {
+				at := now + tt.later + time.Duration(i)*10*time.Microsecond
+				u := p.Pick(view, pick.Request{Service: "m", Now: at})
+				if u.ID == "i-0" {
+					chosen++
+				}
+				p.Done(u.ID, pick.Answered, at)
+			}
+			// A quarter of the weight of each of the eight others.
+			share := float64(chosen) / picks
+			assert.Assert(t, share > 0.02 && share < 0.045, "share %.3f", share)
+		})
+	}
+}
--- a/pick/pace_test.go
+++ b/pick/pace_test.go
@@ -108,6 +108,7 @@
 		{name: "equal sizes", slots: []int{8}, named: true},
 		{name: "no slots given", slots: []int{0}, named: true},
 		{name: "uneven sizes, requests without names", slots: []int{1, 4, 12}},
+		{name: "many slots, of which one is less than nearTie", slots: []int{40}},
 	}
 	const picks = 8000
 	for _, tt := range tests {
