Test the unknown outcome of a commit without a timer

The test switched the store's fault 10 ms after it began. Beside load (load average 25) the first commit came later, so that no outcome was unknown and the test failed once. The store of the test now answers by the number of commits.

--- a/rows/rows_test.go
+++ b/rows/rows_test.go
@@ -89,13 +89,27 @@
 
 // A transaction whose first attempt may have taken effect must not be reported as
 // refused when later attempts are refused.
+// refusing is a store whose first commit has an unknown outcome and that refuses the
+// others.
+type refusing struct {
+	*rows.Memory
+	commits int
+}
+
+func (r *refusing) Commit(context.Context, rows.Txn) (int64, error) {
+	r.commits++
+	if r.commits == 1 {
+		return 0, rows.ErrUnknown
+	}
+	return 0, rows.ErrNotDone
+}
+
 func TestSettleReportsUnknownAfterLaterRefusals(t *testing.T) {
-	store := rows.NewMemory()
-	store.SetFault(rows.ErrUnknown, false)
-	time.AfterFunc(10*time.Millisecond, func() { store.SetFault(rows.ErrNotDone, false) })
+	store := &refusing{Memory: rows.NewMemory()}
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	_, err := rows.CommitUntilKnown(ctx, store, write("ours", 0))
+	assert.Assert(t, store.commits > 1)
 	assert.Assert(t, errors.Is(err, rows.ErrUnknown), "%v", err)
 	assert.Assert(t, !errors.Is(err, rows.ErrNotDone), "%v", err)
 }
