--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -39,6 +39,8 @@
 	// maxPending bounds the upstreams that are being examined and the reports on their
 	// way.
 	maxPending = 256
+	// maxChecked bounds the requests of an upstream that it broke off while it was alive.
+	maxChecked = 64
 	// sweepInterval is the time between two removals of old rows, and rowTTL the age
 	// from which they are removed.
 	sweepInterval = time.Minute
@@ -251,7 +253,9 @@
 	defer t.mu.Unlock()
 	s := t.pending[p]
 	s.checked = append(s.checked, s.requests[:requests]...)
-	s.requests = s.requests[requests:]
+	// An upstream that goes on breaking connections is examined as long.
+	s.checked = slices.Clone(s.checked[max(0, len(s.checked)-maxChecked):])
+	s.requests = slices.Clone(s.requests[requests:])
 }
 
 // dismiss ends the examination once nothing has shown for long that the upstream ended.
