--- a/memory/account.go
+++ b/memory/account.go
@@ -38,6 +38,9 @@
 	CacheDivisor = 8
 	// ConnDivisor is the same for callers' connections.
 	ConnDivisor = 16
+	// outputDivisor divides the limit; one part is for what streaming holders collect, which
+	// upstreams that send without end fill at all of them at once.
+	outputDivisor = 6
 	// minDivisor bounds the limit from below for processes with little memory.
 	minDivisor = 8
 )
@@ -67,7 +70,11 @@
 		// that waiting holders need.
 		leaving int
 		awaited int
-		holders map[*Holder]struct{}
+		// collected are the bytes that holders reserved while streaming, of which there are
+		// collectors.
+		collected  int
+		collectors int
+		holders    map[*Holder]struct{}
 		// changed is closed at the next release or eviction; nil if nobody waits.
 		changed chan struct{}
 	}
@@ -76,11 +83,13 @@
 	Holder struct {
 		account *Account
 		// The account's mutex guards the fields below.
-		bytes   int
-		phase   Phase
-		evict   func()
-		evicted bool
-		closed  bool
+		bytes int
+		phase Phase
+		// collected are the bytes reserved while streaming.
+		collected int
+		evict     func()
+		evicted   bool
+		closed    bool
 		// progressAt is when the request made progress last.
 		progressAt time.Duration
 	}
@@ -145,6 +154,11 @@
 
 func (h *Holder) release(bytes int) {
 	h.bytes -= bytes
+	collected := 0
+	if h.phase == Streaming {
+		collected = min(bytes, h.collected)
+	}
+	h.collect(-max(collected, h.collected-h.bytes))
 	h.account.used -= bytes
 	if h.evicted {
 		h.account.leaving -= bytes
@@ -186,9 +200,14 @@
 	switch {
 	case h.evicted || h.closed:
 		return nil, ErrEvicted
+	case h.phase == Streaming && !a.mayCollect(h, bytes):
+		return nil, ErrRefused
 	case a.used+bytes <= a.limitFor(h, bytes):
 		h.bytes += bytes
 		a.used += bytes
+		if h.phase == Streaming {
+			h.collect(bytes)
+		}
 		h.progressAt = now
 		return nil, nil
 	case !a.makeRoom(h, bytes, now):
@@ -208,6 +227,26 @@
 	h.account.awaited -= bytes
 }
 
+// collect counts bytes that a streaming holder reserved or released.
+func (h *Holder) collect(bytes int) {
+	before := h.collected
+	h.collected += bytes
+	h.account.collected += bytes
+	switch {
+	case before == 0 && h.collected > 0:
+		h.account.collectors++
+	case before > 0 && h.collected == 0:
+		h.account.collectors--
+	}
+}
+
+// mayCollect reports whether a streaming holder may reserve more: while the others leave
+// room, or up to an equal share.
+func (a *Account) mayCollect(h *Holder, bytes int) bool {
+	limit := a.limit / outputDivisor
+	return a.collected+bytes <= limit || (h.collected+bytes)*max(1, a.collectors) <= limit
+}
+
 // limitFor returns the limit for the holder with that many more bytes.
 func (a *Account) limitFor(h *Holder, bytes int) int {
 	if h.bytes+bytes <= SmallBytes {
