--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -43,16 +43,6 @@
 	ended    time.Time
 }
 
-// bodyBytes is the key under which streamOnce finds the size of the body.
-const bodyBytes = "(body bytes)"
-
-// body returns a prompt of the size that the header tells.
-func body(header map[string]string, id string) io.Reader {
-	size, _ := strconv.Atoi(header[bodyBytes])
-	text := "prompt " + id + " "
-	return strings.NewReader(text + strings.Repeat("x", max(0, size-len(text))))
-}
-
 func newID() string {
 	b := make([]byte, 8)
 	_, _ = rand.Read(b)
@@ -72,18 +62,16 @@
 	a := &attempt{id: newID(), front: p, sent: time.Now()}
 	a.last, _ = strconv.Atoi(header["Last-Event-Id"])
 	left := time.Until(deadline)
-	req, err := http.NewRequest(http.MethodPost, "http://"+p.address+path, body(header, a.id))
+	req, err := http.NewRequest(http.MethodPost, "http://"+p.address+path, strings.NewReader("prompt "+a.id))
 	check(err)
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("X-Token-Count", "100,780")
 	for name, value := range header {
-		if name != bodyBytes {
-			req.Header.Set(name, value)
-		}
+		req.Header.Set(name, value)
 	}
 	req.Header.Set("X-Request-Id", a.id)
 	req.Header.Set("X-Model", "m")
-	req.Header.Set("X-Token-Count", "100,780")
 	req.Header.Set("X-Prompt-Prefix", "5c1e07a2:80,"+a.id[:8]+":20")
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 	f.trace.note("sent", "id", a.id, "front", p.name, "path", path, "lastEvent", header["Last-Event-Id"], "resumes", header["Resumes"])
