Review stand-ins: list the empty part of a table

The stand-in store of the third review left out the empty part in its answers about the parts of a table, so processes that started late did not know the others.

--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -202,10 +202,10 @@
 	time.Sleep(storeReadTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	seen := make(map[string]bool)
+	q, seen := r.URL.Query(), make(map[string]bool)
 	parts := []string{}
 	for id := range s.rows {
-		if id.Table == r.URL.Query().Get("table") && !seen[id.Part] && id.Part > r.URL.Query().Get("after") {
+		if id.Table == q.Get("table") && !seen[id.Part] && (!q.Has("after") || id.Part > q.Get("after")) {
 			seen[id.Part] = true
 			parts = append(parts, id.Part)
 		}
