Review case 12: crashes of a broken new version hold a tenant's path off everywhere

Crashes of upstreams of a new version count against the caller and path of the requests in flight, and only a whole answer of that version clears them. If no upstream of it lives long enough to give one, the path is held off from the upstreams of the old version too, for ten minutes.

--- a/review/standin-3/engine.go
+++ b/review/standin-3/engine.go
@@ -70,6 +70,8 @@
 		// version is the software's; sameID keeps the ID over a restart.
 		version string
 		sameID  bool
+		state   string
+		born    int64
 		starts  int
 		ended   bool
 		runs    []run
@@ -79,7 +81,7 @@
 
 // startEngine serves on a free loopback port and registers in the store.
 func startEngine(store *tableStore, taken *places, config engineConfig) (*engine, error) {
-	e := &engine{config: config, address: freeAddress(), store: store, taken: taken, version: config.Version}
+	e := &engine{config: config, address: freeAddress(), store: store, taken: taken, version: config.Version, state: "ready"}
 	e.slowness.Store(1)
 	return e, e.start()
 }
@@ -112,13 +114,10 @@
 	}
 	server := e.server
 	go func() { _ = server.Serve(listener) }()
-	born := time.Now().UnixMilli()
+	e.born = time.Now().UnixMilli()
 	go func() {
 		for sequence := 1; ; sequence++ {
-			e.store.put("servers", id, map[string]any{
-				"service": e.config.Service, "addr": e.address, "zone": e.config.Zone, "version": version,
-				"slots": e.config.Slots, "state": "ready", "cold_left_ms": 0, "sequence": sequence, "born": born,
-			})
+			e.beat(id, version, sequence)
 			select {
 			case <-stop:
 				return
@@ -129,6 +128,30 @@
 	return nil
 }
 
+// beat writes the engine's entry.
+func (e *engine) beat(id, version string, sequence int) {
+	e.mu.Lock()
+	state, born := e.state, e.born
+	e.mu.Unlock()
+	e.store.put("servers", id, map[string]any{
+		"service": e.config.Service, "addr": e.address, "zone": e.config.Zone, "version": version,
+		"slots": e.config.Slots, "state": state, "cold_left_ms": 0, "sequence": sequence, "born": born,
+	})
+}
+
+// drain reports that the engine leaves; it goes on serving for the time and then ends.
+func (e *engine) drain(serves time.Duration) {
+	e.mu.Lock()
+	e.state = "draining"
+	id, version := e.id, e.version
+	e.mu.Unlock()
+	e.beat(id, version, 1000)
+	time.AfterFunc(serves, func() {
+		e.close()
+		e.store.remove("servers", id)
+	})
+}
+
 // crash ends the incarnation at once: its port refuses connections and those that it had are
 // reset. It comes back later, and its entry is removed after three heartbeats.
 func (e *engine) crash(id string) {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,8 @@
 
 	routeHost = "ficu95.example"
 	apiKey    = "3fexd9dnn2ctnfzs989a"
+	// otherKey is that of another tenant.
+	otherKey = "nu6wsjnbanfqasnmgkcu"
 )
 
 // world is a running case.
@@ -51,6 +53,7 @@
 		"dead-home":   deadHome,
 		"mem-turn":    memTurn,
 		"kept-get":    keptGet,
+		"bad-release": badRelease,
 		"big-turn":    bigTurn,
 		"slashes":     slashes,
 	}
@@ -149,8 +152,11 @@
 	}
 	w.store.put("op", "config", map[string]any{
 		"version": 7, "routes": routes, "services": services,
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "hule930", "api_keys": []string{apiKey}, "priority": 1, "rate_per_s": 289, "burst": 289}},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{
+			{"name": "hule930", "api_keys": []string{apiKey}, "priority": 1, "rate_per_s": 289, "burst": 289},
+			{"name": "xaka200", "api_keys": []string{otherKey}, "priority": 1, "rate_per_s": 289, "burst": 289},
+		},
 	})
 	for _, config := range engines {
 		e, err := startEngine(w.store, &w.taken, config)
