--- a/review/standin-3/memturn.go
+++ b/review/standin-3/memturn.go
@@ -20,7 +20,7 @@
 	crowdPause  = 500 * time.Millisecond
 	memoryLook  = 5 * time.Millisecond
 	restartWait = 500 * time.Millisecond
-	// endsAllowed and machinesAllowed are the rule's.
+	// endsToCount and machinesToCount are the rule's.
 	endsToCount     = 3
 	machinesToCount = 2
 )
