--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -43,8 +43,8 @@
 }
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
+	if len(os.Args) != 4 || os.Args[3] != "0" && os.Args[3] != "1" {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER TROUBLE, which is 1 or, without the disruption, 0")
 		os.Exit(couldNot)
 	}
 	cases := map[string]func(*world) (bool, error){
@@ -62,10 +62,10 @@
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(couldNot)
 	}
-	os.Exit(runCase(play, os.Args[2]))
+	os.Exit(runCase(play, os.Args[2], os.Args[3] == "1"))
 }
 
-func runCase(play func(*world) (bool, error), folder string) int {
+func runCase(play func(*world) (bool, error), folder string, trouble bool) int {
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -78,8 +78,9 @@
 		return couldNot
 	}
 	defer os.RemoveAll(dir)
-	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, started: time.Now(), record: record}
+	w := &world{trouble: trouble, dir: dir, started: time.Now(), record: record}
 	defer w.end()
+	w.note("with the disruption: %v", trouble)
 	type outcome struct {
 		broken bool
 		err    error
--- a/review/standin-3/poison.go
+++ b/review/standin-3/poison.go
@@ -8,16 +8,17 @@
 )
 
 const (
-	poisonEngines = 6
+	poisonEngines = 12
 	// A poisonous request crashes its engine crashAfter it began to run; the engine is back
 	// after downTime.
 	crashAfter     = 300 * time.Millisecond
-	downTime       = 2500 * time.Millisecond
+	downTime       = 2 * time.Second
 	poisonDeadline = 2 * time.Second
 	// poisonLeave is when its client leaves, long before its deadline.
 	poisonLeave = 120 * time.Millisecond
-	poisonPause = 900 * time.Millisecond
-	poisonTime  = 18 * time.Second
+	poisonPause = 270 * time.Millisecond
+	// poisonTime is how long clients leave early, and how long the request comes again.
+	poisonTime = 5500 * time.Millisecond
 	// calmClients stay; so one client in ten leaves early.
 	calmClients = 9
 	calmPause   = 150 * time.Millisecond
