--- a/budget/budget.go
+++ b/budget/budget.go
@@ -7,11 +7,19 @@
 // that are certainly light and have lost no home: it holds no allocation of them and has
 // read the table of heavy programs since they were assigned to it. A row lists its program
 // there with the write that leaves room for fewer than two such maxima, whatever the home
-// says, and keeps room for one until the home has ended provisional allocations. A home
-// does that, and grants, only once each earlier home that is still listed knows of it and
+// says, and keeps room for one until provisional allocations have ended. A home
+// ends them, and grants, only once each earlier home that is still listed knows of it and
 // has recorded what it granted; so at any time one process at most has grants that no row
-// has. If it ends before they are in the rows, it leaves a loss on the roster, and each
-// row that it has not closed counts the maximum as spent. So the sum stays within the
+// has.
+//
+// A home grants a program something only with the permission of a quorum of its witnesses,
+// which its row on the roster names. A witness gives it if it finds the store down too, and
+// remembers it until the home has recorded all grants. Of a home that doesn't answer, others
+// ask the witnesses to revoke the permission, which each does unless it has given it. Once so
+// many have that every quorum lacks one, the home has granted the program nothing that its
+// row lacks, and will grant it nothing before it has read that the program is heavy. If a
+// process ends of which that can't be told, it leaves a loss on the roster, and each row of
+// which that can't be told either counts the maximum as spent. So the sum stays within the
 // budget and one turn, which covers what holders that are lost may not have spent.
 package budget
 
@@ -23,6 +31,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
@@ -105,9 +114,24 @@
 		// WasHome reports whether this instance is the program's home or was until the
 		// given time ago.
 		WasHome(program string, within time.Duration) bool
-		// HandedOver reports whether the listed instances that may have been the program's
-		// home before know that this one is, and have recorded what they granted.
-		HandedOver(ctx context.Context, program string) bool
+		// EarlierHomes returns the listed processes that may have been the program's home
+		// before this one, but for those that know that this one is and have recorded what
+		// they granted.
+		EarlierHomes(ctx context.Context, program string) []string
+		// PossibleHomes returns the listed processes that may be or have been the program's
+		// home.
+		PossibleHomes(program string) []string
+		// EndAt asks the process to grant the program nothing more, and returns what it
+		// granted. An error means that it did not answer.
+		EndAt(ctx context.Context, process, program string) (map[string]int, error)
+		// Standing reads the current row of a listed process, or returns that of a lost one.
+		Standing(ctx context.Context, process string) (Standing, error)
+		// ProcessOf returns the listed process of an instance; empty if there is none.
+		ProcessOf(instance string) string
+		// Engage, Permit and Revoke call an instance as a witness.
+		Engage(ctx context.Context, instance string, q *EngageRequest) (*EngageReply, error)
+		Permit(ctx context.Context, instance string, q *PermitRequest) (*PermitReply, error)
+		Revoke(ctx context.Context, instance string, q *RevokeRequest) (*RevokeReply, error)
 		// Losses returns the processes that were lost in the earliest outage after which
 		// a home of the program may have been lost with provisional allocations that the
 		// row lacks. Only one of them was the home then.
@@ -123,7 +147,8 @@
 		// interruption, this process' predecessors and peers included; 0 if it isn't or
 		// if that isn't known.
 		StoreReached func() time.Duration
-		// HeavyReadAt returns up to when the table of heavy programs has been read.
+		// HeavyReadAt returns up to when the table of heavy programs and the list of
+		// instances have been read.
 		HeavyReadAt func() time.Duration
 		// IdleTTL is the time after which an idle program's account may be dropped.
 		IdleTTL time.Duration
@@ -135,6 +160,10 @@
 		StoreTimeout time.Duration
 		// RecordInterval is the time between attempts to record them.
 		RecordInterval time.Duration
+		// Now is the clock of HeavyReadAt; nil means common.Uptime.
+		Now func() time.Duration
+		// Metrics counts revocations; nil means the default registry.
+		Metrics metrics.Registry
 	}
 
 	// Ledger manages this instance's allocations of all budgets. It is safe for
@@ -152,10 +181,12 @@
 		// backoffUntil is when the store is asked first again.
 		backoffUntil time.Duration
 		// draining is set once a planned stop has begun.
-		draining atomic.Bool
-		home     *home
-		desk     *desk
-		group    *group.Group
+		draining   atomic.Bool
+		home       *home
+		permission permission
+		witness    *witness
+		desk       *desk
+		group      *group.Group
 	}
 
 	// account is this instance's allocation of one program's budget.
@@ -193,9 +224,13 @@
 		accounts: make(map[string]*account),
 		sweepAt:  minSweepAccounts,
 		home:     newHome(),
+		witness:  newWitness(),
 		desk:     newDesk(),
 		group:    group.NewGroup(context.Background()),
 	}
+	if l.config.Now == nil {
+		l.config.Now = common.Uptime
+	}
 	l.group.Go(l.recordProvisionals)
 	return l
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -188,7 +188,30 @@
 	return ok
 }
 
-func (s seat) HandedOver(context.Context, string) bool { return true }
+func (s seat) EarlierHomes(context.Context, string) []string { return nil }
+
+func (s seat) PossibleHomes(string) []string { return []string{"front-0#0"} }
+
+func (s seat) EndAt(context.Context, string, string) (map[string]int, error) { return nil, errGone }
+
+// Standing returns no witnesses, so that nobody knows what a process granted that is gone.
+func (s seat) Standing(_ context.Context, process string) (budget.Standing, error) {
+	return budget.Standing{Process: process, Epoch: 1}, nil
+}
+
+func (s seat) ProcessOf(instance string) string { return instance + "#1" }
+
+func (s seat) Engage(_ context.Context, instance string, _ *budget.EngageRequest) (*budget.EngageReply, error) {
+	return &budget.EngageReply{Witness: instance + "#1", Engaged: true}, nil
+}
+
+func (s seat) Permit(_ context.Context, instance string, _ *budget.PermitRequest) (*budget.PermitReply, error) {
+	return &budget.PermitReply{Witness: instance + "#1", Permitted: true}, nil
+}
+
+func (s seat) Revoke(context.Context, string, *budget.RevokeRequest) (*budget.RevokeReply, error) {
+	return nil, errGone
+}
 
 func (s seat) Losses(string) []string {
 	s.mu.Lock()
@@ -234,6 +257,7 @@
 	f.home, f.homeSince = l, common.Uptime()
 	if l != nil {
 		f.homes[l.Holder()] = true
+		l.Registered(context.Background(), 1, []string{"witness"})
 	}
 }
 
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/peer"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -35,6 +36,9 @@
 	inTransit  bool
 	outdated   bool
 	reread     bool
+	// unused tells of each lost home whose witnesses were asked whether it granted nothing
+	// to the program.
+	unused map[string]bool
 }
 
 // extend reserves a further allocation of the program's budget in the store.
@@ -44,11 +48,11 @@
 // than one turn. So a row that has granted much only grants more once the home has
 // ended provisional allocations.
 func (l *Ledger) extend(ctx context.Context, a *account, program string, total, maxTokens int) error {
-	e := &extension{program: program, maxTokens: maxTokens, freed: make(map[string]int)}
+	e := &extension{program: program, maxTokens: maxTokens, freed: make(map[string]int), unused: make(map[string]bool)}
 	grant := 0
 	fresh := a.row.Version == 0
 	r, err := l.update(ctx, program, total, &a.row, func(r *record, version int64) error {
-		l.applyPending(e, r, a)
+		l.applyPending(ctx, e, r, a)
 		need := maxTokens - l.available(a)
 		stale := !fresh
 		fresh = true
@@ -135,7 +139,7 @@
 
 // applyPending adds to the record what the row may lack: tokens that other holders
 // returned, provisional allocations, and those of homes that were lost.
-func (l *Ledger) applyPending(e *extension, r *record, a *account) {
+func (l *Ledger) applyPending(ctx context.Context, e *extension, r *record, a *account) {
 	for holder, n := range e.freed {
 		r.returnTokens(holder, n)
 	}
@@ -143,8 +147,30 @@
 	l.mu.Lock()
 	r.addProvisional(l.holder, a.provisional)
 	l.mu.Unlock()
-	r.addLoss(l.peers.Losses(e.program), maxProvisional(r.Total, e.maxTokens))
-	e.applyEnded(r)
+	l.addLosses(ctx, e, r, l.peers.Losses(e.program))
+	l.applyEnded(ctx, e, r)
+}
+
+// addLosses counts what lost homes may have granted, unless their witnesses know that it is
+// nothing.
+func (l *Ledger) addLosses(ctx context.Context, e *extension, r *record, homes []string) {
+	for _, home := range homes {
+		if !r.countsLoss(homes) {
+			return
+		}
+		if r.Closed[home] {
+			continue
+		}
+		unused, asked := e.unused[home]
+		if !asked {
+			unused = l.grantedNothing(ctx, home, e.program)
+			e.unused[home] = unused
+		}
+		if unused {
+			r.close(home)
+		}
+	}
+	r.addLoss(homes, maxProvisional(r.Total, e.maxTokens))
 }
 
 // addGranted adds what this instance granted as the program's home. It grants no more once
@@ -163,20 +189,24 @@
 func (l *Ledger) endProvisionals(ctx context.Context, e *extension, r *record) {
 	e.endRequested = true
 	e.ended, e.homeErr = l.peers.EndProvisionals(ctx, e.program)
+	if e.homeErr != nil && !errors.Is(e.homeErr, ErrUnavailable) && !errors.Is(e.homeErr, peer.ErrFailed) {
+		l.log.Info("home does not answer; ending provisional allocations without it", "program", e.program, "error", e.homeErr)
+		e.ended, e.homeErr = l.endWithoutHome(ctx, e.program)
+	}
 	if e.homeErr != nil {
 		l.log.Info("home did not end provisional allocations; counting the maximum as granted",
 			"program", e.program, "advance", maxProvisional(r.Total, e.maxTokens), "error", e.homeErr)
 	}
-	e.applyEnded(r)
+	l.applyEnded(ctx, e, r)
 }
 
 // applyEnded marks the program as heavy if its home has ended provisional
 // allocations.
-func (e *extension) applyEnded(r *record) {
+func (l *Ledger) applyEnded(ctx context.Context, e *extension, r *record) {
 	if !e.endRequested || e.homeErr != nil {
 		return
 	}
-	r.addLoss(e.ended.Losses, maxProvisional(r.Total, e.maxTokens))
+	l.addLosses(ctx, e, r, e.ended.Losses)
 	r.Heavy = true
 	for holder, n := range e.ended.Holders {
 		r.addProvisional(holder, n)
--- a/budget/home.go
+++ b/budget/home.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
@@ -101,26 +102,29 @@
 // as heavy, and has read of all programs that became heavy before they were assigned to
 // it. Nor does it while an earlier home may have grants that aren't recorded, if a home of
 // the program was lost, so that the maximum is lost once at most, or once it stops, since it
-// may not record it any more.
+// may not record it any more, or without the permission of its witnesses.
 func (l *Ledger) GrantProvisional(ctx context.Context, holder, program string, total, maxTokens int, now time.Duration) int {
 	if l.draining.Load() || l.allocated(program) || !l.config.StoreDown() {
 		return 0
 	}
 	since, ok := l.peers.HomeSince(program)
-	if readAt := l.config.HeavyReadAt(); !ok || readAt < since+moveDelays*l.config.RecordDelay {
+	readAt := l.config.HeavyReadAt()
+	if !ok || readAt < since+moveDelays*l.config.RecordDelay {
 		l.log.Debug("no provisional allocation: the program may have become heavy at its home before",
 			"program", program, "home", ok, "homeForMs", (now - since).Milliseconds(), "heavyProgramsAgeMs", (now - readAt).Milliseconds())
 		return 0
 	}
-	if !l.peers.HandedOver(ctx, program) {
-		l.log.Debug("no provisional allocation: an earlier home may have grants that aren't recorded", "program", program)
+	if earlier := l.peers.EarlierHomes(ctx, program); len(earlier) > 0 {
+		l.log.Debug("no provisional allocation: an earlier home may have grants that aren't recorded", "program", program, "earlier", earlier)
 		return 0
 	}
 	if lost := l.peers.Losses(program); len(lost) > 0 {
 		l.log.Debug("no provisional allocation: a home of the program was lost", "program", program, "lost", lost)
 		return 0
 	}
-	tokens := l.home.grant(holder, program, total, maxTokens, now)
+	engagedBy := readAt - moveDelays*l.config.RecordDelay
+	l.askPermission(ctx, program, engagedBy)
+	tokens := l.permission.use(program, engagedBy, func() int { return l.home.grant(holder, program, total, maxTokens, now) })
 	if tokens > 0 && l.allocated(program) {
 		// The first allocation has arrived meanwhile, and may have been recorded with
 		// what was granted before.
@@ -175,32 +179,97 @@
 // EndProvisionals marks the program as heavy, so that it gets no further provisional
 // allocations, and returns those so far, and the homes that may have granted others. It
 // fails if this instance isn't the program's home, or just after an outage: other homes
-// and holders record what they granted and received soon after it. It also fails as long as
-// an earlier home that is listed may have grants that the row lacks: one that stands still,
-// or that has ended and is not recorded as lost yet.
+// and holders record what they granted and received soon after it. It also fails if an
+// earlier home that is listed doesn't answer and may have grants that the row lacks.
 func (l *Ledger) EndProvisionals(ctx context.Context, program string) (Ended, error) {
 	if !l.peers.WasHome(program, l.config.RecordDelay) {
 		return Ended{}, errors.Annotate(ErrUnavailable, "another instance is the program's home")
 	}
+	if err := l.storeWasDown(); err != nil {
+		return Ended{}, err
+	}
+	if !l.Ready() {
+		return Ended{}, errors.Annotate(ErrUnavailable, "the table of heavy programs isn't read yet")
+	}
+	return l.endAtAll(ctx, append(l.peers.EarlierHomes(ctx, program), l.holder), program)
+}
+
+// storeWasDown returns an error if the store may have been down just now.
+func (l *Ledger) storeWasDown() error {
 	if reached := l.config.StoreReached(); reached < l.config.RecordDelay {
-		return Ended{}, errors.Annotatef(ErrUnavailable, "the store may have been down %s ago", reached)
+		return errors.Annotatef(ErrUnavailable, "the store may have been down %s ago", reached)
+	}
+	return nil
+}
+
+// endWithoutHome ends the program's provisional allocations at all processes that may be or
+// have been its home, while the home doesn't answer.
+func (l *Ledger) endWithoutHome(ctx context.Context, program string) (Ended, error) {
+	if err := l.storeWasDown(); err != nil {
+		return Ended{}, err
+	}
+	return l.endAtAll(ctx, l.peers.PossibleHomes(program), program)
+}
+
+// endAtAll makes the processes refuse the program provisional allocations, and returns those
+// so far.
+func (l *Ledger) endAtAll(ctx context.Context, processes []string, program string) (Ended, error) {
+	var mu sync.Mutex
+	ended := Ended{Holders: make(map[string]int), Losses: l.peers.Losses(program)}
+	asked, ctx := errgroup.WithContext(ctx)
+	for _, process := range processes {
+		asked.Go(func() error {
+			holders, err := l.endAt(ctx, process, program)
+			mu.Lock()
+			defer mu.Unlock()
+			for holder, tokens := range holders {
+				ended.Holders[holder] += tokens
+			}
+			return err
+		})
+	}
+	if err := asked.Wait(); err != nil {
+		return Ended{}, err
+	}
+	return ended, nil
+}
+
+// endAt makes the process refuse the program provisional allocations, and returns those so
+// far. If it doesn't answer, its witnesses may know that there are none.
+func (l *Ledger) endAt(ctx context.Context, process, program string) (map[string]int, error) {
+	if process == l.holder {
+		return l.EndAt(program), nil
+	}
+	holders, err := l.peers.EndAt(ctx, process, program)
+	if err == nil || l.grantedNothing(ctx, process, program) {
+		return holders, nil
 	}
-	if !l.peers.HandedOver(ctx, program) {
-		return Ended{}, errors.Annotate(ErrUnavailable, "an earlier home may not have recorded what it granted")
+	return nil, errors.Annotatef(ErrUnavailable, "%s may have grants that aren't recorded (%v)", process, err)
+}
+
+// grantedNothing reports whether the witnesses of the process know that it has granted nothing to the
+// program that the store lacks, and won't.
+func (l *Ledger) grantedNothing(ctx context.Context, process, program string) bool {
+	s, err := l.peers.Standing(ctx, process)
+	if err != nil {
+		l.log.Debug("witnesses of a home are unknown", "home", process, "error", err)
+		return false
 	}
-	losses := l.peers.Losses(program)
+	unused, _ := l.revokeAt(ctx, s, program)
+	return unused
+}
+
+// EndAt makes this instance refuse the program provisional allocations, and returns those so
+// far.
+func (l *Ledger) EndAt(program string) map[string]int {
 	h := l.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.ready {
-		return Ended{}, errors.Annotate(ErrUnavailable, "the table of heavy programs isn't read yet")
-	}
 	h.heavyPrograms[program] = true
-	ended := Ended{Holders: make(map[string]int), Losses: losses}
 	if a, ok := h.provisionals[program]; ok {
-		ended.Holders = maps.Clone(a.holders)
+		return maps.Clone(a.holders)
 	}
-	return ended, nil
+	return nil
 }
 
 // markHeavy excludes the program from provisional allocations of this process.
@@ -232,6 +301,7 @@
 func (l *Ledger) recordProvisionals(ctx context.Context) {
 	for group.Sleep(ctx, l.config.RecordInterval) {
 		l.recordAll(ctx)
+		l.engageWitnesses(ctx)
 	}
 }
 
--- a/budget/message.go
+++ b/budget/message.go
@@ -94,6 +94,68 @@
 		Done    bool   `json:"done"`
 	}
 
+	// EndAtRequest asks an instance that may have been a program's home to grant nothing
+	// more to it.
+	EndAtRequest struct {
+		// Process is the one that is meant.
+		Process string `json:"process"`
+		Program string `json:"program"`
+	}
+
+	// EndAtReply returns what the instance granted.
+	EndAtReply struct {
+		// Process is the one that answers.
+		Process string `json:"process"`
+		// Holders are the sums by holder.
+		Holders map[string]int `json:"holders"`
+	}
+
+	// EngageRequest makes an instance a witness of a process whose row on the roster names
+	// it, or tells it that the store has all grants of earlier periods.
+	EngageRequest struct {
+		Process string `json:"process"`
+		Epoch   int64  `json:"epoch"`
+		Period  int64  `json:"period"`
+	}
+
+	// EngageReply is the answer.
+	EngageReply struct {
+		// Witness is the process that answers.
+		Witness string `json:"witness"`
+		Engaged bool   `json:"engaged"`
+	}
+
+	// PermitRequest asks a witness to permit grants to a program without the store.
+	PermitRequest struct {
+		Process string `json:"process"`
+		Epoch   int64  `json:"epoch"`
+		Period  int64  `json:"period"`
+		Program string `json:"program"`
+	}
+
+	// PermitReply is the answer.
+	PermitReply struct {
+		// Witness is the process that answers.
+		Witness   string `json:"witness"`
+		Permitted bool   `json:"permitted"`
+	}
+
+	// RevokeRequest asks a witness to refuse the process its permission from now on, if it
+	// has not given it.
+	RevokeRequest struct {
+		Process string `json:"process"`
+		Epoch   int64  `json:"epoch"`
+		// Program is the one that the process may grant nothing to; empty means all.
+		Program string `json:"program"`
+	}
+
+	// RevokeReply is the answer; a witness that the process has not engaged does neither.
+	RevokeReply struct {
+		Revoked bool `json:"revoked"`
+		// Permitted is set if it has given the permission before.
+		Permitted bool `json:"permitted"`
+	}
+
 	// Ended has all provisional allocations of a program that gets no further ones.
 	Ended struct {
 		// Holders are the sums by holder.
@@ -110,5 +172,9 @@
 	Release          = peer.Method[ReleaseRequest, ReleaseReply]{Name: "BudgetRelease"}
 	EndProvisionals  = peer.Method[EndProvisionalsRequest, Ended]{Name: "BudgetEndAdvances"}
 	Handover         = peer.Method[HandoverRequest, HandoverReply]{Name: "BudgetHandover"}
+	EndAt            = peer.Method[EndAtRequest, EndAtReply]{Name: "BudgetEndAt"}
+	Engage           = peer.Method[EngageRequest, EngageReply]{Name: "BudgetEngage"}
+	Permit           = peer.Method[PermitRequest, PermitReply]{Name: "BudgetPermit"}
+	Revoke           = peer.Method[RevokeRequest, RevokeReply]{Name: "BudgetRevoke"}
 	GrantProvisional = peer.Method[ProvisionalRequest, ProvisionalReply]{Name: "BudgetAdvance"}
 )
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -26,6 +27,8 @@
 	siteRecordInterval = 5 * time.Millisecond
 	siteStoreTimeout   = 2 * time.Millisecond
 	siteTurnTimeout    = 10 * time.Millisecond
+	// maxSites bounds the instances of an order.
+	maxSites = 9
 )
 
 var (
@@ -70,9 +73,18 @@
 		changedAt time.Duration
 		members   []*member
 		// losses are the lost processes of each outage; lostAt is when the last was noticed.
-		losses  [][]string
-		lostAt  time.Duration
+		losses [][]string
+		lostAt time.Duration
+		// lost are the rows of the lost processes.
+		lost    map[string]budget.Standing
 		started int
+		named   int
+		// repliesLost: messages to witnesses take effect, but their replies are lost. sent
+		// are those that arrive once more later.
+		repliesLost bool
+		sent        []func()
+		// registrations numbers the rows of the list.
+		registrations int64
 		// registered counts the processes that were listed.
 		registered int
 		opened     []*budget.Ledger
@@ -81,6 +93,7 @@
 	// member is one instance, whose process may be replaced.
 	member struct {
 		sites  *sites
+		name   string
 		ledger *budget.Ledger
 		// running is set while a process runs, listed while the store lists it; row is
 		// the holder name in the store's list, empty if there is none.
@@ -88,10 +101,14 @@
 		listed  bool
 		leaving bool
 		row     string
-		// frozen: it answers nobody. cut: it doesn't reach the store. late: the next
-		// transaction takes effect after its caller has given it up.
+		// standing is what the row says of the process.
+		standing budget.Standing
+		// frozen: it answers nobody. cut: it doesn't reach the store. misled: it takes the
+		// store for down meanwhile, as those that it asks do. late: the next transaction
+		// takes effect after its caller has given it up.
 		frozen      bool
 		cut         atomic.Bool
+		misled      atomic.Bool
 		late        atomic.Bool
 		cutUntil    time.Duration
 		homeSince   time.Duration
@@ -131,16 +148,40 @@
 }
 
 func newSites(n int, times siteTimes) *sites {
-	s := &sites{times: times, memory: rows.NewMemory(), begun: time.Now()}
+	s := &sites{times: times, memory: rows.NewMemory(), begun: time.Now(), lost: make(map[string]budget.Standing)}
 	for range n {
-		s.members = append(s.members, &member{sites: s})
+		s.members = append(s.members, s.newMember())
 	}
 	for _, m := range s.members {
 		s.start(m)
 	}
+	s.completeWitnesses()
 	return s
 }
 
+func (s *sites) newMember() *member {
+	s.named++
+	return &member{sites: s, name: fmt.Sprint("m", s.named)}
+}
+
+// add starts a new instance, which is the home if it comes first.
+func (s *sites) add(at int) {
+	m := s.newMember()
+	s.mu.Lock()
+	before := s.readRosters()
+	s.members = slices.Insert(slices.Clone(s.members), min(at, len(s.members)), m)
+	s.moved(before)
+	s.mu.Unlock()
+	s.start(m)
+}
+
+// all returns the instances at the moment.
+func (s *sites) all() []*member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
+}
+
 // now returns the time since the start, which is simulated in a synctest bubble.
 func (s *sites) now() time.Duration { return time.Since(s.begun) }
 
@@ -154,16 +195,17 @@
 func (s *sites) start(m *member) {
 	s.mu.Lock()
 	s.started++
-	holder := fmt.Sprintf("front#%d", s.started)
+	holder := fmt.Sprintf("%s#%d", m.name, s.started)
 	m.running, m.listed, m.frozen, m.leaving, m.lagging, m.heavyReadAt = true, false, false, false, false, 0
 	m.cut.Store(false)
+	m.misled.Store(false)
 	m.handedOver = make(map[string]bool)
 	m.home = s.homeLocked()
 	m.ledger = budget.NewLedger(hclog.NewNullLogger(), &memberStore{Store: s.memory, member: m}, m, holder, budget.Config{
 		StoreDown: func() bool {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			return s.down
+			return s.down || m.cut.Load() && m.misled.Load()
 		},
 		StoreReached: func() time.Duration {
 			s.mu.Lock()
@@ -180,7 +222,7 @@
 			return m.heavyReadAt
 		},
 		IdleTTL: time.Minute, RecordDelay: s.times.recordDelay, StoreTimeout: s.times.storeTimeout,
-		RecordInterval: s.times.recordInterval,
+		RecordInterval: s.times.recordInterval, Now: s.now,
 	})
 	s.opened = append(s.opened, m.ledger)
 	s.mu.Unlock()
@@ -188,26 +230,80 @@
 }
 
 // register lists the process in place of the row that an earlier one left, which is
-// recorded as lost then.
+// recorded as lost then, unless its witnesses know that it granted nothing.
 func (s *sites) register(m *member) {
 	s.readHeavy(m)
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.down || m.cut.Load() || !m.running || m.listed || m.unregistered {
+		s.mu.Unlock()
 		return
 	}
+	earlier := m.standing
+	s.mu.Unlock()
+	unused := earlier.Process != "" && s.revokeAll(m, earlier)
+	s.mu.Lock()
 	before := s.readRosters()
-	if m.row != "" {
-		s.lose(m.row)
+	if m.row != "" && !unused {
+		s.lose(m.standing)
 	}
 	s.registered++
 	m.listed, m.row, m.homeSince, m.listedAs = true, m.ledger.Holder(), s.now(), s.registered
+	m.standing = budget.Standing{}
 	s.moved(before)
+	s.mu.Unlock()
+	s.rewrite(m)
+}
+
+// witnessesOf returns the witnesses of an instance, as the roster chooses them.
+func (s *sites) witnessesOf(m *member) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for i := range s.members {
+		other := s.members[(slices.Index(s.members, m)+i)%len(s.members)]
+		if other != m && other.row != "" && !other.leaving && len(names) < 5 {
+			names = append(names, other.name)
+		}
+	}
+	return names
+}
+
+// rewrite writes the instance's row with new witnesses.
+func (s *sites) rewrite(m *member) {
+	names := s.witnessesOf(m)
+	m.ledger.SuspendPermission()
+	s.mu.Lock()
+	s.registrations++
+	m.standing = budget.Standing{Process: m.row, Epoch: s.registrations, Witnesses: names}
+	epoch := s.registrations
+	s.mu.Unlock()
+	m.ledger.Registered(context.Background(), epoch, names)
+}
+
+// completeWitnesses gives the instances new witnesses whose own are not listed any more.
+func (s *sites) completeWitnesses() {
+	for _, m := range s.all() {
+		s.mu.Lock()
+		stays := !s.down && !m.cut.Load() && m.running && m.listed && !m.leaving
+		names := m.standing.Witnesses
+		s.mu.Unlock()
+		if stays && !slices.Equal(slices.Sorted(slices.Values(names)), slices.Sorted(slices.Values(s.witnessesOf(m)))) {
+			s.rewrite(m)
+		}
+	}
+}
+
+// revokeAll reports whether the witnesses of a process know, by the word of another
+// instance, that it granted nothing.
+func (s *sites) revokeAll(by *member, lost budget.Standing) bool {
+	unused, _ := by.ledger.RevokeAll(context.Background(), lost)
+	return unused
 }
 
 // lose records the loss of a process. The caller holds the lock.
-func (s *sites) lose(holder string) {
-	now := s.now()
+func (s *sites) lose(lost budget.Standing) {
+	now, holder := s.now(), lost.Process
+	s.lost[holder] = lost
 	if n := len(s.losses); n > 0 && now < s.lostAt+s.times.outageGap {
 		s.losses[n-1] = append(s.losses[n-1], holder)
 	} else {
@@ -282,7 +378,10 @@
 	m.ledger.LoadHeavyPrograms(found)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m.heavyReadAt = at
+	if m.lagging {
+		at -= s.times.roster
+	}
+	m.heavyReadAt = max(m.heavyReadAt, at)
 }
 
 func (s *sites) setDown(down bool) {
@@ -296,7 +395,7 @@
 	s.down, s.reachedAt = down, s.now()
 	s.mu.Unlock()
 	if !down {
-		for _, m := range s.members {
+		for _, m := range s.all() {
 			s.register(m)
 		}
 	}
@@ -317,12 +416,33 @@
 	cancel()
 	s.mu.Lock()
 	if m.ledger.Recorded() && !s.down && !m.cut.Load() && m.row == m.ledger.Holder() {
-		m.row = ""
+		m.row, m.standing = "", budget.Standing{}
 	}
 	s.mu.Unlock()
 	s.kill(m)
 }
 
+// cut cuts the instance off the store, or ends that. A misled one takes the store for down.
+func (s *sites) cut(m *member, misled bool) {
+	s.mu.Lock()
+	s.readRoster(m)
+	m.cut.Store(!m.cut.Load())
+	m.misled.Store(misled)
+	m.cutUntil = s.now()
+	s.mu.Unlock()
+	s.register(m)
+}
+
+// killTwo kills the instance and the one after it.
+func (s *sites) killTwo(m *member) {
+	all := s.all()
+	for _, m := range []*member{m, all[(slices.Index(all, m)+1)%len(all)]} {
+		if m.running {
+			s.kill(m)
+		}
+	}
+}
+
 func (s *sites) kill(m *member) {
 	s.mu.Lock()
 	m.running, m.listed = false, false
@@ -330,16 +450,25 @@
 	m.ledger.Close()
 }
 
-// giveUp removes an instance that can't be reached from the list, and records its loss.
+// giveUp removes an instance that can't be reached from the list, and records its loss
+// unless its witnesses know that it granted nothing.
 func (s *sites) giveUp(m *member) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.down || m.row == "" || (m.running && !m.frozen && !m.cut.Load()) {
+		s.mu.Unlock()
 		return
 	}
+	lost := m.standing
+	by := slices.IndexFunc(s.members, func(o *member) bool { return o != m && o.running && !o.frozen && !o.cut.Load() })
+	s.mu.Unlock()
+	unused := by >= 0 && s.revokeAll(s.all()[by], lost)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	before := s.readRosters()
-	s.lose(m.row)
-	m.row, m.listed = "", false
+	if !unused {
+		s.lose(lost)
+	}
+	m.row, m.listed, m.standing = "", false, budget.Standing{}
 	s.moved(before)
 }
 
@@ -356,19 +485,11 @@
 }
 
 func (m *member) Release(_ context.Context, holder, program string) (int, error) {
-	s := m.sites
-	s.mu.Lock()
-	var l *budget.Ledger
-	for _, other := range s.members {
-		if other.running && !other.frozen && other.ledger.Holder() == holder {
-			l = other.ledger
-		}
-	}
-	s.mu.Unlock()
-	if l == nil {
-		return 0, errGone
+	other, err := m.sites.find(holder)
+	if err != nil {
+		return 0, err
 	}
-	return l.Release(program)
+	return other.ledger.Release(program)
 }
 
 func (m *member) RequestProvisional(_ context.Context, holder, program string, total, maxTokens int) (int, error) {
@@ -387,10 +508,11 @@
 	return home.ledger.EndProvisionals(context.Background(), program)
 }
 
-// HandedOver asks the other listed instances, each until it has handed over once.
-func (m *member) HandedOver(context.Context, string) bool {
+// EarlierHomes asks the other listed instances, each until it has handed over once.
+func (m *member) EarlierHomes(context.Context, string) []string {
 	s := m.sites
-	for _, other := range s.members {
+	var open []string
+	for _, other := range s.all() {
 		s.mu.Lock()
 		s.readRoster(other)
 		row, draining := other.row, other.leaving && other.running
@@ -402,11 +524,129 @@
 			continue
 		}
 		if !answers || !other.ledger.Recorded() {
-			return false
+			open = append(open, row)
+			continue
 		}
 		m.handedOver[key] = true
 	}
-	return true
+	return open
+}
+
+// PossibleHomes returns the first processes of the list.
+func (m *member) PossibleHomes(string) []string {
+	s := m.sites
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var processes []string
+	for _, other := range s.members {
+		if other.row != "" && (len(processes) < 3 || other == m.home) {
+			processes = append(processes, other.row)
+		}
+	}
+	return processes
+}
+
+// find returns the instance that runs the process, if it answers.
+func (s *sites) find(process string) (*member, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.members {
+		if m.running && !m.frozen && m.ledger.Holder() == process {
+			return m, nil
+		}
+	}
+	return nil, errGone
+}
+
+func (m *member) EndAt(_ context.Context, process, program string) (map[string]int, error) {
+	other, err := m.sites.find(process)
+	if err != nil {
+		return nil, err
+	}
+	return other.ledger.EndAt(program), nil
+}
+
+func (m *member) Standing(_ context.Context, process string) (budget.Standing, error) {
+	s := m.sites
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range s.members {
+		if other.row == process {
+			if s.down || m.cut.Load() {
+				return budget.Standing{}, rows.ErrNotDone
+			}
+			return other.standing, nil
+		}
+	}
+	if lost, ok := s.lost[process]; ok {
+		return lost, nil
+	}
+	return budget.Standing{}, errGone
+}
+
+func (m *member) ProcessOf(instance string) string {
+	s := m.sites
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range s.members {
+		if other.name == instance {
+			return other.row
+		}
+	}
+	return ""
+}
+
+// witness returns the ledger of an instance that answers.
+func (m *member) witness(instance string) (*budget.Ledger, error) {
+	s := m.sites
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, other := range s.members {
+		if other.name == instance && other.running && !other.frozen {
+			return other.ledger, nil
+		}
+	}
+	return nil, errGone
+}
+
+func (m *member) Engage(_ context.Context, instance string, q *budget.EngageRequest) (*budget.EngageReply, error) {
+	return callWitness(m, instance, func(l *budget.Ledger) *budget.EngageReply { return l.Engage(q) })
+}
+
+func (m *member) Permit(_ context.Context, instance string, q *budget.PermitRequest) (*budget.PermitReply, error) {
+	return callWitness(m, instance, func(l *budget.Ledger) *budget.PermitReply { return l.Permit(q) })
+}
+
+func (m *member) Revoke(_ context.Context, instance string, q *budget.RevokeRequest) (*budget.RevokeReply, error) {
+	return callWitness(m, instance, func(l *budget.Ledger) *budget.RevokeReply { return l.Revoke(q) })
+}
+
+func callWitness[R any](m *member, instance string, deliver func(l *budget.Ledger) *R) (*R, error) {
+	l, err := m.witness(instance)
+	if err != nil {
+		return nil, err
+	}
+	reply := deliver(l)
+	s := m.sites
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, func() { deliver(l) })
+	if s.repliesLost {
+		return nil, errGone
+	}
+	return reply, nil
+}
+
+// deliverAgain delivers a message to a witness once more.
+func (s *sites) deliverAgain(i int) {
+	s.mu.Lock()
+	if len(s.sent) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	deliver := s.sent[i%len(s.sent)]
+	s.mu.Unlock()
+	deliver()
 }
 
 func (m *member) HomeSince(string) (time.Duration, bool) {
@@ -532,14 +772,15 @@
 	const maxTokens = 100
 	rapid.Check(t, func(t *rapid.T) {
 		total := maxTokens * rapid.IntRange(1, 9).Draw(t, "turns")
-		s := newSites(3, shortTimes)
+		s := newSites(rapid.IntRange(3, 6).Draw(t, "instances"), shortTimes)
 		defer s.close()
 		handed := 0
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			m := rapid.SampledFrom(s.members).Draw(t, "instance")
 			switch what := rapid.SampledFrom([]string{
 				"turn", "turn", "turn", "turn", "turns", "down", "down", "up", "up", "read", "read", "read", "wait", "stop", "kill",
-				"start", "start", "freeze", "cut", "give up", "late",
+				"start", "start", "freeze", "cut", "give up", "late", "kill two", "mislead", "add", "new witnesses", "lose replies",
+				"deliver again",
 			}).Draw(t, "event"); what {
 			case "turn":
 				handed += m.turn(total, maxTokens)
@@ -573,19 +814,31 @@
 				m.frozen = !m.frozen
 				s.mu.Unlock()
 			case "cut":
-				s.mu.Lock()
-				s.readRoster(m)
-				m.cut.Store(!m.cut.Load())
-				m.cutUntil = s.now()
-				s.mu.Unlock()
-				s.register(m)
+				s.cut(m, false)
+			case "mislead":
+				s.cut(m, true)
 			case "give up":
 				s.giveUp(m)
+			case "kill two":
+				s.killTwo(m)
+			case "add":
+				if len(s.all()) < maxSites {
+					s.add(rapid.IntRange(0, len(s.all())).Draw(t, "at"))
+				}
+			case "new witnesses":
+				s.completeWitnesses()
+			case "lose replies":
+				s.mu.Lock()
+				s.repliesLost = !s.repliesLost
+				s.mu.Unlock()
+			case "deliver again":
+				s.deliverAgain(rapid.IntRange(0, 1000).Draw(t, "message"))
 			default:
 				m.late.Store(true)
 			}
 		}
 		s.setDown(false)
+		s.repliesLost = false
 		for _, m := range s.members {
 			m.frozen = false
 			m.cut.Store(false)
@@ -609,7 +862,9 @@
 // order is a sequence of events and the budget that it is played with.
 type order struct {
 	total int
-	steps []step
+	// instances is 3 if it is 0.
+	instances int
+	steps     []step
 }
 
 // step is one event. Instances are given by their index; listedHome is the home that the
@@ -620,6 +875,9 @@
 	turns    int
 }
 
+// lostTime is how long an instance doesn't answer before it is given up.
+const lostTime = 8 * time.Second
+
 const (
 	listedHome      = -1
 	laggingInstance = -2
@@ -627,7 +885,7 @@
 
 // play returns the tokens that the order hands out at three instances.
 func (o order) play(maxTokens int) int {
-	s := newSites(3, productionTimes)
+	s := newSites(cmp.Or(o.instances, 3), productionTimes)
 	defer s.close()
 	handed := 0
 	turns := func(m *member, n int) {
@@ -639,6 +897,7 @@
 		s.play(p, turns)
 	}
 	s.setDown(false)
+	s.repliesLost = false
 	for _, m := range s.members {
 		m.frozen, m.unregistered = false, false
 		m.cut.Store(false)
@@ -667,7 +926,7 @@
 		}
 		return nil
 	default:
-		return s.members[i]
+		return s.members[i%len(s.members)]
 	}
 }
 
@@ -719,8 +978,32 @@
 		s.mu.Lock()
 		m.frozen = !m.frozen
 		s.mu.Unlock()
+	case "cut", "mislead":
+		s.cut(m, p.event == "mislead")
 	case "give up":
 		s.giveUp(m)
+	case "give up lost":
+		time.Sleep(lostTime)
+		for _, m := range s.all() {
+			if !m.running {
+				s.giveUp(m)
+			}
+		}
+		s.completeWitnesses()
+	case "kill two":
+		s.killTwo(m)
+	case "add":
+		if len(s.all()) < maxSites {
+			s.add(p.turns)
+		}
+	case "new witnesses":
+		s.completeWitnesses()
+	case "lose replies":
+		s.mu.Lock()
+		s.repliesLost = !s.repliesLost
+		s.mu.Unlock()
+	case "deliver again":
+		s.deliverAgain(p.turns)
 	case "late":
 		m.late.Store(true)
 	}
@@ -732,14 +1015,14 @@
 	// A budget of one or two turns leaves no room for grants, and IntRange prefers small
 	// numbers.
 	count := rapid.SampledFrom([]int{1, 2, 3, 4, 6, 8, 9, 12}).Draw(t, "turns")
-	o := order{total: count * maxTokens, steps: []step{{event: "wait"}}}
-	instance := rapid.IntRange(0, 2)
+	o := order{total: count * maxTokens, instances: rapid.SampledFrom([]int{3, 3, 4, 6, 8}).Draw(t, "instances"), steps: []step{{event: "wait"}}}
+	instance := rapid.IntRange(0, o.instances-1)
 	add := func(steps ...step) {
 		for _, p := range steps {
 			o.steps = append(o.steps, p)
 			if rapid.IntRange(0, 9).Draw(t, "noise") == 9 {
 				event := rapid.SampledFrom(others).Draw(t, "event")
-				o.steps = append(o.steps, step{event: event, instance: instance.Draw(t, "instance"), turns: 1})
+				o.steps = append(o.steps, step{event: event, instance: instance.Draw(t, "instance"), turns: rapid.IntRange(1, 4).Draw(t, "number")})
 			}
 		}
 	}
@@ -750,10 +1033,19 @@
 	turns := func() step { return turnsAt(instance.Draw(t, "instance")) }
 	home := func(event string) step { return step{event: event, instance: listedHome} }
 	all := func(event string) step { return step{event: event} }
+	lose := func() step {
+		return home(rapid.SampledFrom([]string{"kill", "kill two", "freeze", "cut"}).Draw(t, "loss"))
+	}
+	givenUp := func() step {
+		return rapid.SampledFrom([]step{
+			{event: "give up lost"}, {event: "give up", instance: listedHome}, {event: "start"}, {event: "add"}, {event: "pause"},
+		}).Draw(t, "then")
+	}
 	for range rapid.IntRange(1, episodes).Draw(t, "episodes") {
 		switch rapid.SampledFrom([]string{
 			"home moves when the program is heavy", "home joins before an outage", "home is killed in an outage",
-			"home registers late after an outage",
+			"home registers late after an outage", "homes are lost before an outage", "homes are lost in an outage",
+			"homes are lost after an outage", "home is misled",
 		}).Draw(t, "episode") {
 		case "home moves when the program is heavy":
 			// A home that has an allocation of the program grants nothing, so the one that
@@ -774,6 +1066,22 @@
 		case "home registers late after an outage":
 			add(all("down"), turns(), turns(), home("kill"), all("up"), all("wait"), all("start unregistered"), turns(), turns(),
 				all("register"), all("wait"))
+		case "homes are lost before an outage":
+			add(turns(), lose(), turns(), all("down"), turns(), turns(), all("up"), turns(), givenUp(), turns(), all("wait"))
+		case "homes are lost in an outage":
+			add(all("down"), turns(), turns(), lose(), turns(), all("up"), turns(), givenUp(), turns(), all("down"), turns(), all("up"))
+		case "homes are lost after an outage":
+			add(all("down"), turns(), turns(), all("up"), turns(), lose(), turns(), givenUp(), turns(), all("down"), turns(), all("up"))
+		case "home is misled":
+			// The store serves the others meanwhile. Half of the instances are misled too.
+			add(turns())
+			for i := range o.instances {
+				if i == 0 || rapid.Bool().Draw(t, "misled too") {
+					add(step{event: "mislead", instance: i})
+				}
+			}
+			add(turns(), turnsAt(0), turnsAt(0), home(rapid.SampledFrom([]string{"kill", "freeze", "pause"}).Draw(t, "end")), turns(), givenUp(),
+				turns(), all("start"), turns(), turns())
 		}
 	}
 	return o
@@ -801,6 +1109,7 @@
 func TestBudgetHoldsAroundOneOutage(t *testing.T) {
 	checkOrders(t, 1, []string{
 		"turns", "read", "pause", "wait", "stop if listed", "kill", "start", "register", "lag", "freeze", "give up", "late",
+		"kill two", "cut", "mislead", "add", "give up lost", "new witnesses", "lose replies", "deliver again",
 	})
 }
 
@@ -809,6 +1118,7 @@
 func TestBudgetHoldsOverSeveralOutages(t *testing.T) {
 	checkOrders(t, 3, []string{
 		"turns", "read", "pause", "wait", "stop", "kill", "start", "register", "lag", "freeze", "give up", "late", "up", "down",
+		"kill two", "cut", "mislead", "add", "give up lost", "new witnesses", "lose replies", "deliver again",
 	})
 }
 
@@ -872,7 +1182,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			handed := 0
-			synctest.Test(t, func(*testing.T) { handed = order{tt.total, tt.steps}.play(maxTokens) })
+			synctest.Test(t, func(*testing.T) { handed = order{total: tt.total, steps: tt.steps}.play(maxTokens) })
 			assert.Assert(t, handed <= tt.total+maxTokens, "%d of %d", handed, tt.total)
 		})
 	}
--- a/budget/record.go
+++ b/budget/record.go
@@ -107,9 +107,7 @@
 // has an allocation of; but the first of those may have been on its way while the home
 // granted.
 func (r *record) addLoss(homes []string, tokens int) {
-	counted := slices.ContainsFunc(homes, func(home string) bool { return r.Lost[home] > 0 })
-	granted := slices.ContainsFunc(homes, func(home string) bool { return !r.Closed[home] })
-	if r.Heavy || counted || !granted {
+	if !r.countsLoss(homes) {
 		return
 	}
 	if r.Lost == nil {
@@ -118,6 +116,14 @@
 	r.Lost[homes[0]] = tokens
 }
 
+// countsLoss reports whether one of the lost processes may have granted what the record
+// lacks.
+func (r *record) countsLoss(homes []string) bool {
+	counted := slices.ContainsFunc(homes, func(home string) bool { return r.Lost[home] > 0 })
+	granted := slices.ContainsFunc(homes, func(home string) bool { return !r.Closed[home] })
+	return !r.Heavy && !counted && granted
+}
+
 // close records that the process grants nothing more as the program's home.
 func (r *record) close(home string) {
 	if r.Closed == nil {
--- a/front/front.go
+++ b/front/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,13 +96,17 @@
 type Front struct {
 	settings conf.FrontSettings
 	// reloadable are the latest settings, for those that may change at run time.
-	reloadable    atomic.Pointer[conf.FrontSettings]
-	log           hclog.Logger
-	common        *common.Common
-	group         *group.Group
-	direct        *platform.Store
-	store         *bypass.Store
-	roster        *roster.Roster
+	reloadable atomic.Pointer[conf.FrontSettings]
+	log        hclog.Logger
+	common     *common.Common
+	group      *group.Group
+	direct     *platform.Store
+	store      *bypass.Store
+	roster     *roster.Roster
+	// registering is held while this instance writes its row, witnesses are those that the
+	// row names.
+	registering   sync.Mutex
+	witnesses     atomic.Pointer[[]string]
 	conns         *peer.Conns
 	peers         *peers.Client
 	watcher       *watch.Watcher
@@ -150,15 +155,18 @@
 	f.store = bypass.NewStore(f.direct, f.peers, func() bool { return f.watcher.StoreDown() })
 	f.ledger = budget.NewLedger(log.Named("budget"), f.store, f.peers, f.roster.Self().HolderName(),
 		budget.Config{
-			StoreDown:      func() bool { return f.watcher.StoreDown() },
-			StoreReached:   func() time.Duration { return f.watcher.Reached() },
-			HeavyReadAt:    func() time.Duration { return f.watcher.ReadAt(budget.HeavyTable) },
+			StoreDown:    func() bool { return f.watcher.StoreDown() },
+			StoreReached: func() time.Duration { return f.watcher.Reached() },
+			HeavyReadAt: func() time.Duration {
+				return min(f.watcher.ReadAt(budget.HeavyTable), f.watcher.ReadAt(roster.Table))
+			},
 			IdleTTL:        idleBudgetTTL,
 			RecordDelay:    budget.RecordDelay,
 			StoreTimeout:   budget.StoreTimeout,
 			RecordInterval: budget.RecordInterval,
+			Metrics:        f.common.Metrics,
 		})
-	f.peers.Serve(f.ledger)
+	f.peers.Serve(f.ledger, f.direct)
 	f.broker = budget.NewBroker(log.Named("budget"), f.ledger, f.peers)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
 		watch.Events{Works: f.store.ResetBackoff, Lost: f.store.SetLost})
@@ -303,6 +311,7 @@
 	f.group.Go(f.registerWhenReady)
 	f.group.Go(f.removeLost)
 	f.group.Go(f.askHandovers)
+	f.group.Go(f.keepWitnesses)
 	f.group.Go(func(context.Context) { f.logServe(callerListener, f.callerServer.Serve()) })
 	f.group.Go(func(context.Context) { f.logServe(readyListener, f.readyServer.Serve(f.listeners[readyListener])) })
 	f.group.Go(func(context.Context) {
--- a/front/roster.go
+++ b/front/roster.go
@@ -6,6 +6,7 @@
 
 	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/group"
+	"github.com/buckthorntide/buckthorntide/peers"
 	"github.com/buckthorntide/buckthorntide/roster"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
@@ -33,9 +34,14 @@
 	handoverInterval = 200 * time.Millisecond
 	handoverFleet    = 24
 	handoverPause    = 2 * time.Second
+	// witnessInterval is the time between two checks whether this instance needs other
+	// witnesses, and witnessGrace how long they may be missing: a planned restart takes less.
+	witnessInterval = time.Second
+	witnessGrace    = 3 * time.Second
 	// calmTime is how long the store must have been reachable so that a process that
 	// has ended since has recorded what it granted in outages: instances that are dead
-	// for longer are removed from the roster.
+	// for longer are removed from the roster. It counts where too many witnesses of the
+	// process have ended too.
 	calmTime = 15 * time.Second
 )
 
@@ -155,19 +161,25 @@
 }
 
 func (f *Front) registerOnce(ctx context.Context) error {
+	f.registering.Lock()
+	defer f.registering.Unlock()
 	row, err := f.ownRow(ctx)
 	if err != nil {
 		return err
 	}
-	lost := f.predecessorLoss(row)
-	txn, err := f.roster.Registration(row, lost)
+	lost := f.predecessorLoss(ctx, row)
+	txn, own, err := f.roster.Registration(row, lost)
 	if err != nil {
 		return err
 	}
+	f.ledger.SuspendPermission()
 	version, err := rows.CommitUntilKnown(ctx, f.store, txn)
 	if err != nil {
 		return err
 	}
+	f.log.Info("registered on the roster", "epoch", own.Epoch, "witnesses", own.Witnesses, "rowVersion", version)
+	f.witnesses.Store(&own.Witnesses)
+	f.ledger.Registered(ctx, own.Epoch, own.Witnesses)
 	for _, w := range txn.Writes {
 		if r := (rows.Row{ID: w.ID, Value: w.Value, Version: version}); roster.IsLoss(r) {
 			f.applyLoss(r)
@@ -176,24 +188,37 @@
 	return nil
 }
 
+// keepWitnesses registers this instance again with other witnesses once some have been
+// missing for long.
+func (f *Front) keepWitnesses(ctx context.Context) {
+	missingSince := time.Duration(0)
+	for group.Sleep(ctx, witnessInterval) {
+		names, now := f.witnesses.Load(), common.Uptime()
+		switch {
+		case names == nil || f.stopping.Load() || !f.roster.Listed() || !f.roster.LacksWitnesses(*names):
+			missingSince = 0
+		case missingSince == 0:
+			missingSince = now
+		case now-missingSince >= witnessGrace:
+			missingSince = 0
+			f.log.Info("replacing witnesses that are not listed", "witnesses", *names)
+			f.register(ctx)
+		}
+	}
+}
+
 // ownRow returns this instance's row of the roster, with version 0 if there is none.
 func (f *Front) ownRow(ctx context.Context) (rows.Row, error) {
-	page, err := f.store.Range(ctx, f.roster.Own())
-	if err != nil {
-		return rows.Row{}, err
-	}
-	if len(page.Rows) == 0 || page.Rows[0].Key != f.settings.Instance {
-		return rows.Row{}, nil
-	}
-	return page.Rows[0], nil
+	return roster.ReadRow(ctx, f.store, f.settings.Instance)
 }
 
 // predecessorLoss returns the loss of the earlier process that wrote this instance's row
-// and ended without removing it, unless there was no outage for so long that it has
-// recorded all that it granted.
-func (f *Front) predecessorLoss(row rows.Row) *roster.Loss {
+// and ended without removing it. There is none if its witnesses know that it granted nothing
+// that the store lacks, or if none is known to have permitted that and there was no outage
+// for so long that it has recorded all.
+func (f *Front) predecessorLoss(ctx context.Context, row rows.Row) *roster.Loss {
 	reached := f.watcher.Reached()
-	if row.Version == 0 || reached >= calmTime {
+	if row.Version == 0 {
 		return nil
 	}
 	e, err := roster.Decode(row)
@@ -204,6 +229,9 @@
 	if e.Start == f.roster.Self().Start {
 		return nil
 	}
+	if unused, permitted := f.ledger.RevokeAll(ctx, peers.StandingOf(e)); unused || reached >= calmTime && !permitted {
+		return nil
+	}
 	return roster.NewLoss(e, reached)
 }
 
@@ -247,14 +275,26 @@
 	}
 }
 
-// removeAsLost removes an instance that may still run, or have granted budgets that no
-// other instance knows.
+// removeAsLost removes an instance that may still run. Unless its witnesses know that it
+// granted nothing that the store lacks, its loss is recorded.
 func (f *Front) removeAsLost(ctx context.Context, name string) error {
-	e, known := f.roster.Find(name)
-	if !known {
+	row, err := roster.ReadRow(ctx, f.direct, name)
+	if err != nil || row.Version == 0 {
+		return err
+	}
+	e, err := roster.Decode(row)
+	if err != nil {
+		return err
+	}
+	if known, listed := f.roster.Find(name); !listed || known.Start != e.Start {
+		// Another process of the instance has registered.
 		return nil
 	}
-	txn, err := f.roster.RemovalOf(roster.NewLoss(e, f.watcher.Reached()))
+	var loss *roster.Loss
+	if unused, _ := f.ledger.RevokeAll(ctx, peers.StandingOf(e)); !unused {
+		loss = roster.NewLoss(e, f.watcher.Reached())
+	}
+	txn, err := f.roster.RemovalOf(row, loss)
 	if err != nil {
 		return err
 	}
--- a/peers/home.go
+++ b/peers/home.go
@@ -85,16 +85,107 @@
 	return m.roster.Listed() && (m.IsHome(program) || common.Uptime()-m.roster.ChangedAt() < within)
 }
 
-// HandedOver reports whether the listed instances that may have been the program's home
-// before know that this one is, and have recorded what they granted. Each process is asked
-// until it says so once; those that were listed after this one were never the home.
-func (m *Client) HandedOver(ctx context.Context, program string) bool {
+// EarlierHomes returns the listed processes that may have been the program's home before this
+// one and have not handed over: that know that this one is, and have recorded what they
+// granted. Each process is asked until it says so once; those that were listed after this one
+// were never the home.
+func (m *Client) EarlierHomes(ctx context.Context, program string) []string {
+	var open []string
 	for _, e := range m.roster.EarlierHomes(program) {
 		if _, done := m.handedOver.Load(m.handoverOf(e)); !done && !m.askHandover(ctx, e) {
-			return false
+			open = append(open, e.HolderName())
 		}
 	}
-	return true
+	return open
+}
+
+// PossibleHomes returns the listed processes that may be or have been the program's home.
+func (m *Client) PossibleHomes(program string) []string {
+	homes := m.roster.PossibleHomes(program)
+	processes := make([]string, 0, len(homes))
+	for _, e := range homes {
+		processes = append(processes, e.HolderName())
+	}
+	return processes
+}
+
+// EndAt makes the process refuse the program provisional allocations, and returns those so
+// far.
+func (m *Client) EndAt(ctx context.Context, process, program string) (map[string]int, error) {
+	e, err := m.holder(process)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := call(ctx, m, budget.EndAt, e, &budget.EndAtRequest{Process: process, Program: program}, callTimeout)
+	if err != nil {
+		return nil, err
+	}
+	if reply.Process != process {
+		return nil, errHolderGone
+	}
+	return reply.Holders, nil
+}
+
+// Standing reads the row of a listed process, which may have been written again since the
+// roster was read, or returns the one with which a process was lost.
+func (m *Client) Standing(ctx context.Context, process string) (budget.Standing, error) {
+	name, _, _ := strings.Cut(process, "#")
+	if _, listed := m.holder(process); listed != nil {
+		e, lost := m.roster.LostProcess(process)
+		if !lost {
+			return budget.Standing{}, errHolderGone
+		}
+		return StandingOf(e), nil
+	}
+	e, err := readEntry(ctx, m.store, name)
+	if err != nil {
+		return budget.Standing{}, err
+	}
+	if e.HolderName() != process {
+		return budget.Standing{}, errHolderGone
+	}
+	return StandingOf(e), nil
+}
+
+// StandingOf returns the standing of an entry's process.
+func StandingOf(e roster.Entry) budget.Standing {
+	return budget.Standing{Process: e.HolderName(), Epoch: e.Epoch, Witnesses: e.Witnesses}
+}
+
+// ProcessOf returns the listed process of an instance; empty if there is none.
+func (m *Client) ProcessOf(instance string) string {
+	e, ok := m.roster.Find(instance)
+	if !ok {
+		return ""
+	}
+	return e.HolderName()
+}
+
+// Engage makes an instance a witness of this process.
+func (m *Client) Engage(ctx context.Context, instance string, q *budget.EngageRequest) (*budget.EngageReply, error) {
+	return callWitness(ctx, m, instance, budget.Engage, q, m.ledger.Engage)
+}
+
+// Permit asks a witness to permit grants to a program.
+func (m *Client) Permit(ctx context.Context, instance string, q *budget.PermitRequest) (*budget.PermitReply, error) {
+	return callWitness(ctx, m, instance, budget.Permit, q, m.ledger.Permit)
+}
+
+// Revoke asks a witness to revoke a process' permission.
+func (m *Client) Revoke(ctx context.Context, instance string, q *budget.RevokeRequest) (*budget.RevokeReply, error) {
+	return callWitness(ctx, m, instance, budget.Revoke, q, m.ledger.Revoke)
+}
+
+// callWitness sends the request to the instance, which may be this one.
+func callWitness[Q, R any](ctx context.Context, m *Client, instance string, method peer.Method[Q, R], q *Q, local func(q *Q) *R) (*R, error) {
+	if instance == m.roster.Self().Name {
+		return local(q), nil
+	}
+	e, ok := m.roster.Find(instance)
+	if !ok {
+		return nil, errors.Annotatef(errHolderGone, "witness %s", instance)
+	}
+	return call(ctx, m, method, e, q, callTimeout)
 }
 
 // AskHandover asks one of the instances that have not handed over to this one yet, and
@@ -147,26 +238,29 @@
 	asker, err := m.holder(q.Process)
 	if err != nil {
 		name, _, _ := strings.Cut(q.Process, "#")
-		m.readEntry(ctx, name, store)
-		asker, err = m.holder(q.Process)
+		var e roster.Entry
+		if e, err = readEntry(ctx, store, name); err == nil {
+			m.roster.Set(e)
+			asker, err = m.holder(q.Process)
+		}
+		if err != nil {
+			m.log.Debug("an asker's row could not be read", "instance", name, "error", err)
+		}
 	}
 	done := err == nil && m.ledger.RecordedFor(func(program string) bool { return m.roster.First(program).Name == asker.Name })
 	return &budget.HandoverReply{Process: m.ledger.Holder(), Done: done}, nil
 }
 
-// readEntry reads the row of an instance before the feed brings it.
-func (m *Client) readEntry(ctx context.Context, name string, store rows.Store) {
-	page, err := store.Range(ctx, rows.Query{Table: roster.Table, From: name, To: name + "\x00", Limit: 1})
-	if err != nil || len(page.Rows) == 0 {
-		m.log.Debug("an asker's row could not be read", "instance", name, "error", err)
-		return
-	}
-	e, err := roster.Decode(page.Rows[0])
+// readEntry reads the row of an instance, which may be newer than the roster.
+func readEntry(ctx context.Context, store rows.Store, name string) (roster.Entry, error) {
+	row, err := roster.ReadRow(ctx, store, name)
 	if err != nil {
-		m.log.Warn("invalid roster entry", "instance", name, "error", err)
-		return
+		return roster.Entry{}, err
+	}
+	if row.Version == 0 {
+		return roster.Entry{}, errHolderGone
 	}
-	m.roster.Set(e)
+	return roster.Decode(row)
 }
 
 // Losses returns the processes that were lost in the earliest outage after which a home
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -67,6 +67,8 @@
 	seeds []roster.Entry
 	// ledger is this instance's budget ledger, for programs assigned to it.
 	ledger *budget.Ledger
+	// store is used to read rows that must not be out of date.
+	store rows.Store
 	// handedOver has each handover that was confirmed.
 	handedOver sync.Map
 }
@@ -87,9 +89,9 @@
 // Instances returns how many instances are known, including this one.
 func (m *Client) Instances() int { return m.roster.Len() }
 
-// Serve sets this instance's ledger, which itself calls the peers. It must be
+// Serve sets this instance's ledger, which itself calls the peers, and the store. It must be
 // called before the first call to a peer.
-func (m *Client) Serve(ledger *budget.Ledger) { m.ledger = ledger }
+func (m *Client) Serve(ledger *budget.Ledger, store rows.Store) { m.ledger, m.store = ledger, store }
 
 // Release makes a holder give up the tokens of a program's allocation that it
 // doesn't need, and returns their number.
--- a/peers/serve.go
+++ b/peers/serve.go
@@ -40,6 +40,18 @@
 		}),
 		budget.EndProvisionals.Handle(m.serveEndAdvances),
 		budget.GrantProvisional.Handle(m.serveAdvance),
+		budget.EndAt.Handle(func(_ context.Context, q *budget.EndAtRequest) (*budget.EndAtReply, error) {
+			return &budget.EndAtReply{Process: m.ledger.Holder(), Holders: m.ledger.EndAt(q.Program)}, nil
+		}),
+		budget.Engage.Handle(func(_ context.Context, q *budget.EngageRequest) (*budget.EngageReply, error) {
+			return m.ledger.Engage(q), nil
+		}),
+		budget.Permit.Handle(func(_ context.Context, q *budget.PermitRequest) (*budget.PermitReply, error) {
+			return m.ledger.Permit(q), nil
+		}),
+		budget.Revoke.Handle(func(_ context.Context, q *budget.RevokeRequest) (*budget.RevokeReply, error) {
+			return m.ledger.Revoke(q), nil
+		}),
 		budget.Handover.Handle(func(ctx context.Context, q *budget.HandoverRequest) (*budget.HandoverReply, error) {
 			return m.serveHandover(ctx, q, store)
 		}),
--- a/roster/loss.go
+++ b/roster/loss.go
@@ -55,22 +55,27 @@
 // HolderName returns the name of one incarnation of an instance.
 func (e Entry) HolderName() string { return e.Name + "#" + strconv.FormatInt(e.Start, 10) }
 
-// Registration returns the transaction that adds this instance to the list in place of
-// the row that it has there, which has version 0 if there is none. If lost is set, the
-// process of that row is recorded as lost.
-func (r *Roster) Registration(row rows.Row, lost *Loss) (rows.Txn, error) {
+// Registration returns the transaction that adds this instance to the list with new
+// witnesses, in place of the row that it has there, which has version 0 if there is none,
+// and its entry. If lost is set, the process of that row is recorded as lost.
+func (r *Roster) Registration(row rows.Row, lost *Loss) (rows.Txn, Entry, error) {
 	own := r.self
 	own.Since = time.Now().UnixMilli()
+	if e, err := Decode(row); err == nil && e.Start == own.Start {
+		own.Since, own.Leaving = e.Since, e.Leaving
+	}
+	own.Epoch, own.Witnesses = r.nextEpoch(), r.chooseWitnesses()
 	value, err := json.Marshal(own)
 	if err != nil {
-		return rows.Txn{}, errors.Trace(err)
+		return rows.Txn{}, Entry{}, errors.Trace(err)
 	}
 	txn := rows.Txn{
 		Expect:  []rows.Expectation{{ID: rowID(own.Name), Version: row.Version}},
 		Writes:  []rows.Write{{ID: rowID(own.Name), Value: value}},
 		Removes: r.expiredLosses(),
 	}
-	return addLoss(txn, lost)
+	txn, err = addLoss(txn, lost)
+	return txn, own, err
 }
 
 // Removal returns the transaction that removes this instance from the list at the end of
@@ -87,9 +92,13 @@
 	}, true
 }
 
-// RemovalOf returns the transaction that removes another instance that can't be reached.
-func (r *Roster) RemovalOf(lost *Loss) (rows.Txn, error) {
-	return addLoss(rows.Txn{Removes: []rows.ID{rowID(lost.Name)}}, lost)
+// RemovalOf returns the transaction that removes the row of another instance, unless that
+// has been written again. If lost is set, its process is recorded as lost.
+func (r *Roster) RemovalOf(row rows.Row, lost *Loss) (rows.Txn, error) {
+	return addLoss(rows.Txn{
+		Expect:  []rows.Expectation{{ID: row.ID, Version: row.Version}},
+		Removes: []rows.ID{row.ID},
+	}, lost)
 }
 
 func addLoss(txn rows.Txn, lost *Loss) (rows.Txn, error) {
@@ -144,6 +153,14 @@
 
 func (l Loss) expired(now time.Time) bool { return now.Sub(time.UnixMilli(l.At)) > lossTTL }
 
+// LostProcess returns the entry of a lost process by its holder name.
+func (r *Roster) LostProcess(holder string) (Entry, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	l, ok := r.losses[lossPrefix+holder]
+	return l.Entry, ok
+}
+
 // Losses returns the processes that were lost in the earliest outage after which a home
 // of the name may have been lost. Only one of them was the home then, as registrations
 // need the store.
@@ -210,6 +227,19 @@
 	return homes
 }
 
+// PossibleHomes returns the instances that may be or have been the home of the name: the
+// first ones in its order, and the one that it is assigned to.
+func (r *Roster) PossibleHomes(name string) []Entry {
+	first := r.First(name)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	homes := slices.Clone(r.rank(name)[:min(homeRanks, len(r.entries))])
+	if !slices.ContainsFunc(homes, func(e Entry) bool { return e.Name == first.Name }) {
+		homes = append(homes, first)
+	}
+	return homes
+}
+
 // EarlierHomes returns the other instances that may have been the home of the name before
 // this one: the first ones in its order, of those that this one has not joined before or
 // that leave.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
 	"maps"
 	"net/netip"
@@ -58,12 +59,18 @@
 		// Leaving is set during a planned stop: the instance still answers, but is
 		// not the first for any name.
 		Leaving bool `json:"leaving,omitempty"`
+		// Epoch numbers the rows that the incarnation has written, each of which names the
+		// instances that are its witnesses.
+		Epoch     int64    `json:"epoch,omitempty"`
+		Witnesses []string `json:"witnesses,omitempty"`
 	}
 
 	// Roster is this instance's copy of the list. It is safe for concurrent use.
 	Roster struct {
-		self    Entry
-		mu      sync.RWMutex
+		self Entry
+		mu   sync.RWMutex
+		// epoch is that of the last row that this incarnation wrote.
+		epoch   int64
 		entries map[string]Entry
 		others  []Entry
 		// listed is set while the store has a row for this instance's name. Without
@@ -114,9 +121,13 @@
 // Self returns this instance's entry.
 func (r *Roster) Self() Entry { return r.self }
 
-// Own returns the query for this instance's row.
-func (r *Roster) Own() rows.Query {
-	return rows.Query{Table: Table, From: r.self.Name, Limit: 1}
+// ReadRow reads the row of an instance, with version 0 if there is none.
+func ReadRow(ctx context.Context, store rows.Store, name string) (rows.Row, error) {
+	page, err := store.Range(ctx, rows.Query{Table: Table, From: name, To: name + "\x00", Limit: 1})
+	if err != nil || len(page.Rows) == 0 {
+		return rows.Row{}, err
+	}
+	return page.Rows[0], nil
 }
 
 // Departure returns the transaction that marks this instance as leaving in its row.
@@ -149,9 +160,16 @@
 		return changed
 	}
 	old, known := r.entries[e.Name]
-	if old == e {
+	if known && old.equal(e) {
 		return false
 	}
+	if known && old.assignedLike(e) {
+		r.entries[e.Name] = e
+		i := slices.IndexFunc(r.others, func(o Entry) bool { return o.Name == e.Name })
+		r.others = slices.Clone(r.others)
+		r.others[i] = e
+		return true
+	}
 	if known && e.Leaving && !old.Leaving {
 		r.depart(e.Name)
 	}
@@ -160,6 +178,17 @@
 	return true
 }
 
+func (e Entry) equal(other Entry) bool {
+	return e.assignedLike(other) && e.Epoch == other.Epoch && slices.Equal(e.Witnesses, other.Witnesses)
+}
+
+// assignedLike reports whether the entries differ in their witnesses only, so that no name is
+// assigned anew.
+func (e Entry) assignedLike(other Entry) bool {
+	return e.Name == other.Name && e.Address == other.Address && e.FailureDomain == other.FailureDomain &&
+		e.Start == other.Start && e.Since == other.Since && e.Leaving == other.Leaving
+}
+
 // setOwn records what the store's row says of this instance. The caller holds the lock.
 func (r *Roster) setOwn(listed, leaving bool) {
 	if listed == r.listed && leaving == r.leaving {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -90,15 +90,15 @@
 func TestLateDepartureDoesNothing(t *testing.T) {
 	store := rows.NewMemory()
 	r := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 7})
-	txn, err := r.Registration(rows.Row{}, nil)
+	txn, _, err := r.Registration(rows.Row{}, nil)
 	assert.NilError(t, err)
 	_, err = store.Commit(t.Context(), txn)
 	assert.NilError(t, err)
-	page, err := store.Range(t.Context(), r.Own())
+	row, err := roster.ReadRow(t.Context(), store, "a")
 	assert.NilError(t, err)
-	departure, err := r.Departure(page.Rows[0])
+	departure, err := r.Departure(row)
 	assert.NilError(t, err)
-	removal, own := r.Removal(page.Rows[0])
+	removal, own := r.Removal(row)
 	assert.Assert(t, own)
 	_, err = store.Commit(t.Context(), removal)
 	assert.NilError(t, err)
@@ -110,7 +110,7 @@
 // would then be recorded.
 func TestRemovalKeepsTheRowOfAnEarlierProcess(t *testing.T) {
 	earlier := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 6})
-	txn, err := earlier.Registration(rows.Row{}, nil)
+	txn, _, err := earlier.Registration(rows.Row{}, nil)
 	assert.NilError(t, err)
 	row := rows.Row{ID: txn.Writes[0].ID, Value: txn.Writes[0].Value, Version: 3}
 	_, own := roster.NewRoster(roster.Entry{Name: "a", Address: "127.0.0.1:1", Start: 7}).Removal(row)
@@ -122,12 +122,13 @@
 
 func TestRegistrationRoundTrip(t *testing.T) {
 	e := roster.Entry{Name: "a", Address: "127.0.0.1:1", FailureDomain: "x", Start: 7}
-	txn, err := roster.NewRoster(e).Registration(rows.Row{}, nil)
+	txn, own, err := roster.NewRoster(e).Registration(rows.Row{}, nil)
 	assert.NilError(t, err)
 	got, err := roster.Decode(rows.Row{ID: txn.Writes[0].ID, Value: txn.Writes[0].Value})
 	assert.NilError(t, err)
 	assert.Assert(t, got.Since > 0)
-	got.Since = 0
+	assert.DeepEqual(t, got, own)
+	got.Since, got.Epoch = 0, 0
 	assert.DeepEqual(t, got, e)
 }
 
