Allow the turn of a lost holder for a lost asker too

Callers saw 402 for the last turn of a program, for up to ten minutes, after the instance that handed out one of its turns was gone in the middle of it.

Cause: the turn was reserved at the program's home, and only its asker ends a reservation, so a live home went on counting the maximum of the turn as spent. The turn beyond the budget that is allowed for what a lost holder may not have spent was allowed for holders in the row alone.

A home that lacks tokens calls the instances that have open reservations of the program there. If one doesn't answer, the same turn is allowed; the sum stays within the budget and one turn, since everything still counts.

--- a/budget/broker.go
+++ b/budget/broker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -128,7 +129,7 @@
 // reached. While the home waits for the store, it is asked again.
 func (b *Broker) reserveAtHome(ctx context.Context, program string, total, maxTokens int) (*Reservation, error) {
 	q := &ReserveRequest{
-		ID:        b.ledger.Holder() + "/" + strconv.FormatInt(b.ids.Add(1), 10),
+		ID:        reservationID(b.ledger.Holder(), b.ids.Add(1)),
 		Program:   program,
 		Total:     total,
 		MaxTokens: maxTokens,
@@ -159,6 +160,14 @@
 	}
 }
 
+// reservationID returns the unique name of a reservation, which askerOf takes apart.
+func reservationID(holder string, number int64) string {
+	return holder + "/" + strconv.FormatInt(number, 10)
+}
+
+// askerOf returns the holder name of the process that made a reservation.
+func askerOf(id string) string { return id[:max(0, strings.LastIndexByte(id, '/'))] }
+
 // settle ends a reservation at another instance, and tries again while that can't be
 // reached: a reservation that isn't ended counts as spent.
 func (b *Broker) settle(home, program string, q *SettleRequest) {
--- a/budget/broker_test.go
+++ b/budget/broker_test.go
@@ -191,6 +191,35 @@
 	assert.Equal(t, home.ReserveFor(t.Context(), q).Outcome, budget.Reserved)
 }
 
+// An instance ends in the middle of a turn that it reserved at the program's home. Guards
+// against a budget that counts as spent by one that can't end the reservation any more.
+func TestAskerThatIsGoneCostsNoTurn(t *testing.T) {
+	const maxTokens, total = 100, 400
+	f := newFleet(0, time.Hour)
+	defer f.close()
+	asker, lost := f.newBroker()
+	defer asker.Close()
+	other, _ := f.newBroker()
+	defer other.Close()
+	take := func(b *budget.Broker) error {
+		r, err := b.Reserve(t.Context(), "p", total, maxTokens)
+		if err == nil {
+			r.Settle(maxTokens)
+		}
+		return err
+	}
+	for range total/maxTokens - 1 {
+		assert.NilError(t, take(other))
+	}
+	_, err := asker.Reserve(t.Context(), "p", total, maxTokens)
+	assert.NilError(t, err)
+	assert.ErrorIs(t, take(other), budget.ErrSpent)
+	f.kill(lost.ledger)
+	// One turn beyond the budget, and no more.
+	assert.NilError(t, take(other))
+	assert.ErrorIs(t, take(other), budget.ErrSpent)
+}
+
 // A home that waits for a slow store says so in time, and the turn is reserved there
 // once the transaction has ended.
 func TestTurnWaitsForItsHomesSlowStore(t *testing.T) {
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -124,6 +124,8 @@
 		// EndAt asks the process to grant the program nothing more, and returns what it
 		// granted. An error means that it did not answer.
 		EndAt(ctx context.Context, process, program string) (map[string]int, error)
+		// Answers reports whether the process answers.
+		Answers(ctx context.Context, process string) bool
 		// Standing reads the current row of a listed process, or returns that of a lost one.
 		Standing(ctx context.Context, process string) (Standing, error)
 		// ProcessOf returns the listed process of an instance; empty if there is none.
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -194,6 +194,13 @@
 
 func (s seat) EndAt(context.Context, string, string) (map[string]int, error) { return nil, errGone }
 
+func (s seat) Answers(_ context.Context, process string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.ledgers[process]
+	return ok
+}
+
 // Standing returns no witnesses, so that nobody knows what a process granted that is gone.
 func (s seat) Standing(_ context.Context, process string) (budget.Standing, error) {
 	return budget.Standing{Process: process, Epoch: 1}, nil
--- a/budget/desk.go
+++ b/budget/desk.go
@@ -1,6 +1,8 @@
 package budget
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -59,6 +61,20 @@
 	return reserved{}, false
 }
 
+// askers returns the holder names of the instances that have open reservations of the
+// program.
+func (d *desk) askers(program string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := make(map[string]bool)
+	for id, r := range d.reservations {
+		if r.program == program {
+			found[askerOf(id)] = true
+		}
+	}
+	return slices.Collect(maps.Keys(found))
+}
+
 // expire removes and returns the reservations whose askers have failed, and forgets
 // old cancelled ones.
 func (d *desk) expire(now time.Duration) []reserved {
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -27,15 +27,17 @@
 	ended        Ended
 	homeErr      error
 	// reclaimed is set once the other holders were asked; freed are the tokens that
-	// they returned, holderLost is set if one of them was unreachable, inTransit if
-	// one of them has tokens in transit. outdated is set if one of them has less than
+	// they returned, holderLost is set if one of them was unreachable, or one that has
+	// reserved tokens of this one; askersProbed once these were called. inTransit is set if
+	// a holder has tokens in transit. outdated is set if one of them has less than
 	// the row says, which is read again once, for tokens that were returned since.
-	reclaimed  bool
-	freed      map[string]int
-	holderLost bool
-	inTransit  bool
-	outdated   bool
-	reread     bool
+	reclaimed    bool
+	freed        map[string]int
+	holderLost   bool
+	askersProbed bool
+	inTransit    bool
+	outdated     bool
+	reread       bool
 	// unused tells of each lost home whose witnesses were asked whether it granted nothing
 	// to the program.
 	unused map[string]bool
@@ -62,6 +64,10 @@
 		if e.grantable(r) < need && !e.reclaimed && version != 0 {
 			l.reclaim(ctx, e, r)
 		}
+		if e.grantable(r) < need && !e.holderLost && !e.askersProbed {
+			e.askersProbed = true
+			e.holderLost = l.askerLost(ctx, program)
+		}
 		if !r.Heavy && !e.endRequested && r.sum()+need > heavyPercent*r.Total/100 {
 			l.endProvisionals(ctx, e, r)
 		}
@@ -279,6 +285,30 @@
 	}
 }
 
+// askerLost reports whether an instance doesn't answer that has reserved tokens of the
+// program here. It most likely hands out fewer.
+func (l *Ledger) askerLost(ctx context.Context, program string) bool {
+	askers := l.desk.askers(program)
+	lost := make(chan bool, len(askers))
+	for _, asker := range askers {
+		if !l.group.Go(func(ctx context.Context) { lost <- !l.peers.Answers(ctx, asker) }) {
+			return false
+		}
+	}
+	for range askers {
+		select {
+		case gone := <-lost:
+			if gone {
+				l.log.Info("an instance that reserved tokens of the program does not answer", "program", program, "askers", askers)
+				return true
+			}
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
 // limit returns the maximum sum of the program's allocations, provisional ones
 // included.
 func (e *extension) limit(r *record) int {
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -566,6 +566,11 @@
 	return other.ledger.EndAt(program), nil
 }
 
+func (m *member) Answers(_ context.Context, process string) bool {
+	_, err := m.sites.find(process)
+	return err == nil
+}
+
 func (m *member) Standing(_ context.Context, process string) (budget.Standing, error) {
 	s := m.sites
 	s.mu.Lock()
--- a/peers/home.go
+++ b/peers/home.go
@@ -126,6 +126,16 @@
 	return reply.Holders, nil
 }
 
+// Answers reports whether the process answers.
+func (m *Client) Answers(ctx context.Context, process string) bool {
+	e, err := m.holder(process)
+	if err != nil {
+		return false
+	}
+	reply, err := call(ctx, m, budget.Handover, e, &budget.HandoverRequest{Process: m.roster.Self().HolderName()}, callTimeout)
+	return err == nil && reply.Process == process
+}
+
 // Standing reads the row of a listed process, which may have been written again since the
 // roster was read, or returns the one with which a process was lost.
 func (m *Client) Standing(ctx context.Context, process string) (budget.Standing, error) {
