Count every loss of a program's homes, not the first alone

Nothing was seen by callers. A program could be handed its budget and two turns: a home grants in an outage and ends, another one joins, takes an allocation and is given up, and only then the former one is given up.

Cause: rows asked for the losses of the earliest outage that concerned the program. The process lost there had an allocation, so it counted as one that granted nothing, and the loss of the home that did grant was never looked at. The losses were ordered by when they were noticed, not by when the processes granted.

All losses of the program's homes are returned now. One process at most has grants that no row has, whenever its loss is noticed, so the maximum still counts once, unless each of them is closed or its witnesses know that it granted nothing.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -134,9 +134,8 @@
 		Engage(ctx context.Context, instance string, q *EngageRequest) (*EngageReply, error)
 		Permit(ctx context.Context, instance string, q *PermitRequest) (*PermitReply, error)
 		Revoke(ctx context.Context, instance string, q *RevokeRequest) (*RevokeReply, error)
-		// Losses returns the processes that were lost in the earliest outage after which
-		// a home of the program may have been lost with provisional allocations that the
-		// row lacks. Only one of them was the home then.
+		// Losses returns the lost processes that may have been the program's home. One of
+		// them at most has provisional allocations that the row lacks.
 		Losses(program string) []string
 	}
 
--- a/peers/home.go
+++ b/peers/home.go
@@ -273,8 +273,7 @@
 	return roster.Decode(row)
 }
 
-// Losses returns the processes that were lost in the earliest outage after which a home
-// of the program may have been lost.
+// Losses returns the lost processes that may have been the program's home.
 func (m *Client) Losses(program string) []string { return m.roster.Losses(program) }
 
 // callHome sends the request to the program's home, or calls local if this
--- a/roster/loss.go
+++ b/roster/loss.go
@@ -161,9 +161,8 @@
 	return l.Entry, ok
 }
 
-// Losses returns the processes that were lost in the earliest outage after which a home
-// of the name may have been lost. Only one of them was the home then, as registrations
-// need the store.
+// Losses returns the lost processes that may have been the home of the name, those of each
+// outage after one another. One of all of them at most has grants that no row has.
 func (r *Roster) Losses(name string) []string {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -180,17 +179,16 @@
 	slices.SortFunc(all, func(a, b Loss) int {
 		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.HolderName(), b.HolderName()))
 	})
+	var homes []string
 	for len(all) > 0 {
 		n := 1
 		for n < len(all) && all[n].At-all[n-1].At <= outageGap.Milliseconds() {
 			n++
 		}
-		if homes := r.homesAmong(name, all[:n]); len(homes) > 0 {
-			return homes
-		}
+		homes = append(homes, r.homesAmong(name, all[:n])...)
 		all = all[n:]
 	}
-	return nil
+	return homes
 }
 
 // homesAmong returns those of the processes lost in one outage that may have been the
