Bound what a silent witness or earlier home costs a call

A home that is asked for a grant or to end provisional allocations asks others itself, within the 40 ms that its caller waits. One that stands still would have used them up, and the caller would have ejected the home that answers. A grant waits 25 ms for witnesses now, late replies count for the next turn; the witnesses of a process are asked once it has not answered for 10 ms; and all witnesses are engaged at once. The row of a home that doesn't answer is read through a peer where the store turns this instance away.

Counters budget.permitted, notPermitted, revoked and notRevoked; the dump has the instance's witnesses.

--- a/budget/home.go
+++ b/budget/home.go
@@ -32,6 +32,9 @@
 	// others may still make it heavy without telling this one: its former home vouches
 	// for one, and the transaction that follows may take another.
 	moveDelays = 2
+	// endAtWait is how long a process may take to end provisional allocations before its
+	// witnesses are asked too.
+	endAtWait = 10 * time.Millisecond
 	// provisionalTTL is how long recorded provisional allocations are kept in
 	// memory.
 	provisionalTTL = 3 * time.Minute
@@ -124,7 +127,15 @@
 	}
 	engagedBy := readAt - moveDelays*l.config.RecordDelay
 	l.askPermission(ctx, program, engagedBy)
-	tokens := l.permission.use(program, engagedBy, func() int { return l.home.grant(holder, program, total, maxTokens, now) })
+	permitted := false
+	tokens := l.permission.use(program, engagedBy, func() int {
+		permitted = true
+		return l.home.grant(holder, program, total, maxTokens, now)
+	})
+	l.count("budget.permitted", "budget.notPermitted", permitted)
+	if !permitted {
+		l.log.Debug("no provisional allocation: too few witnesses permit it", "program", program)
+	}
 	if tokens > 0 && l.allocated(program) {
 		// The first allocation has arrived meanwhile, and may have been recorded with
 		// what was granted before.
@@ -235,16 +246,44 @@
 }
 
 // endAt makes the process refuse the program provisional allocations, and returns those so
-// far. If it doesn't answer, its witnesses may know that there are none.
+// far. If it doesn't answer at once, its witnesses may know that there are none.
 func (l *Ledger) endAt(ctx context.Context, process, program string) (map[string]int, error) {
 	if process == l.holder {
 		return l.EndAt(program), nil
 	}
-	holders, err := l.peers.EndAt(ctx, process, program)
-	if err == nil || l.grantedNothing(ctx, process, program) {
-		return holders, nil
+	type reply struct {
+		holders map[string]int
+		err     error
+	}
+	replies := make(chan reply, 1)
+	if !l.group.Go(func(ctx context.Context) {
+		holders, err := l.peers.EndAt(ctx, process, program)
+		replies <- reply{holders, err}
+	}) {
+		return nil, context.Canceled
+	}
+	slow := time.NewTimer(endAtWait)
+	defer slow.Stop()
+	var failed error
+	select {
+	case r := <-replies:
+		if r.err == nil {
+			return r.holders, nil
+		}
+		failed = r.err
+	case <-slow.C:
+	}
+	if l.grantedNothing(ctx, process, program) {
+		return nil, nil
+	}
+	if failed == nil {
+		r := <-replies
+		if r.err == nil {
+			return r.holders, nil
+		}
+		failed = r.err
 	}
-	return nil, errors.Annotatef(ErrUnavailable, "%s may have grants that aren't recorded (%v)", process, err)
+	return nil, errors.Annotatef(ErrUnavailable, "%s may have grants that aren't recorded (%v)", process, failed)
 }
 
 // grantedNothing reports whether the witnesses of the process know that it has granted nothing to the
--- a/budget/permission.go
+++ b/budget/permission.go
@@ -8,8 +8,13 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
 )
 
+// permissionWait is how long a grant waits for the witnesses. The holder that asked for it
+// waits little longer.
+const permissionWait = 25 * time.Millisecond
+
 type (
 	// permission is what this process' witnesses permit it to grant without the store, as
 	// the home of programs.
@@ -187,21 +192,31 @@
 	if l.draining.Load() || l.config.StoreDown() {
 		return
 	}
-	open := l.permission.renew(l.holder, l.peers.ProcessOf, l.Recorded)
-	for name, q := range open {
-		reply, err := l.peers.Engage(ctx, name, q)
-		if err != nil || !reply.Engaged {
-			l.log.Debug("witness not engaged", "witness", name, "epoch", q.Epoch, "period", q.Period, "error", err)
-			continue
-		}
-		l.permission.engaged(name, q, reply, l.config.Now())
-		l.log.Debug("witness engaged", "witness", reply.Witness, "epoch", q.Epoch, "period", q.Period)
+	var engaging errgroup.Group
+	for name, q := range l.permission.renew(l.holder, l.peers.ProcessOf, l.Recorded) {
+		engaging.Go(func() error {
+			reply, err := l.peers.Engage(ctx, name, q)
+			if err != nil || !reply.Engaged {
+				l.log.Debug("witness not engaged", "witness", name, "epoch", q.Epoch, "period", q.Period, "error", err)
+				return nil
+			}
+			l.permission.engaged(name, q, reply, l.config.Now())
+			l.log.Debug("witness engaged", "witness", reply.Witness, "epoch", q.Epoch, "period", q.Period)
+			return nil
+		})
 	}
+	_ = engaging.Wait()
 }
 
-// askPermission asks the witnesses to permit grants to the program, until enough have.
+// askPermission asks the witnesses to permit grants to the program, until enough have. A
+// reply that comes later than permissionWait counts for the next turn.
 func (l *Ledger) askPermission(ctx context.Context, program string, engagedBy time.Duration) {
 	open := l.permission.ask(l.holder, program, engagedBy)
+	if len(open) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, permissionWait)
+	defer cancel()
 	enough := make(chan bool, len(open))
 	for name, q := range open {
 		started := l.group.Go(func(ctx context.Context) {
@@ -286,17 +301,17 @@
 		}
 	}
 	unused = revoked >= revokeQuorum(len(s.Witnesses))
-	l.count(unused)
+	l.count("budget.revoked", "budget.notRevoked", unused)
 	l.log.Info("asked the witnesses of a home that doesn't answer to revoke its permission", "home", s.Process, "epoch", s.Epoch,
 		"program", program, "witnesses", slices.Sorted(slices.Values(s.Witnesses)), "revoked", revoked, "permitted", permitted, "unused", unused)
 	return unused, permitted
 }
 
-// count counts the outcomes of revocations.
-func (l *Ledger) count(unused bool) {
-	name := "budget.revoked"
-	if !unused {
-		name = "budget.notRevoked"
+// count counts one of two outcomes.
+func (l *Ledger) count(yes, no string, outcome bool) {
+	name := yes
+	if !outcome {
+		name = no
 	}
 	metrics.GetOrRegisterCounter(name, l.config.Metrics).Inc(1)
 }
--- a/front/dump.go
+++ b/front/dump.go
@@ -17,6 +17,8 @@
 	// Dump is a snapshot of the state of an instance.
 	Dump struct {
 		Instance roster.Entry `json:"instance"`
+		// Witnesses are the instances that this one's row on the roster names.
+		Witnesses []string `json:"witnesses"`
 		// NotReady is why the balancer should send no new connections; empty means
 		// ready.
 		NotReady string `json:"notReady"`
@@ -79,9 +81,13 @@
 		ExcludedDomains:  slices.Sorted(maps.Keys(view.ExcludedDomains())),
 		Versions:         f.streams.Dump(),
 		Crashes:          f.crashes.Known(),
+		Witnesses:        []string{},
 		Upstreams:        []UpstreamDump{},
 		Instances:        []InstanceDump{},
 	}
+	if names := f.witnesses.Load(); names != nil {
+		d.Witnesses = append(d.Witnesses, *names...)
+	}
 	if age, known := f.watcher.Age(now); known {
 		d.ConfigAgeMs = age.Milliseconds()
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -166,7 +166,7 @@
 			RecordInterval: budget.RecordInterval,
 			Metrics:        f.common.Metrics,
 		})
-	f.peers.Serve(f.ledger, f.direct)
+	f.peers.Serve(f.ledger, f.store)
 	f.broker = budget.NewBroker(log.Named("budget"), f.ledger, f.peers)
 	f.watcher = watch.NewWatcher(log.Named("watch"), f.direct, platform.Decoder{}, f.peers,
 		watch.Events{Works: f.store.ResetBackoff, Lost: f.store.SetLost})
