Bind the witnesses' word to one registration and one process

Nothing was seen by callers. A home that is given up registers again as the same process, and may grant again once its loss is forgotten. Rows recorded its witnesses' word, that it granted nothing, under the process alone, and so left the loss of the second registration out. They record it with the registration's epoch now. And a request to engage a witness names the process that is meant: one that has started since doesn't know what the former one permitted.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -208,8 +208,8 @@
 
 func (s seat) ProcessOf(instance string) string { return instance + "#1" }
 
-func (s seat) Engage(_ context.Context, instance string, _ *budget.EngageRequest) (*budget.EngageReply, error) {
-	return &budget.EngageReply{Witness: instance + "#1", Engaged: true}, nil
+func (s seat) Engage(context.Context, string, *budget.EngageRequest) (*budget.EngageReply, error) {
+	return &budget.EngageReply{Engaged: true}, nil
 }
 
 func (s seat) Permit(_ context.Context, instance string, _ *budget.PermitRequest) (*budget.PermitReply, error) {
--- a/budget/extension.go
+++ b/budget/extension.go
@@ -38,8 +38,8 @@
 	inTransit    bool
 	outdated     bool
 	reread       bool
-	// unused tells of each lost home whose witnesses were asked whether it granted nothing
-	// to the program.
+	// unused tells of each registration whose witnesses were asked whether the home granted
+	// nothing to the program.
 	unused map[string]bool
 }
 
@@ -157,26 +157,41 @@
 	l.applyEnded(ctx, e, r)
 }
 
-// addLosses counts what lost homes may have granted, unless their witnesses know that it is
-// nothing.
+// addLosses counts what one of the lost homes may have granted, unless the row has all that
+// each of them granted, by its own word or by that of its witnesses.
 func (l *Ledger) addLosses(ctx context.Context, e *extension, r *record, homes []string) {
+	if r.Heavy || r.countsLoss(homes) {
+		return
+	}
 	for _, home := range homes {
-		if !r.countsLoss(homes) {
+		if !r.Closed[home] && !l.closedByWitnesses(ctx, e, r, home) {
+			r.addLoss(home, maxProvisional(r.Total, e.maxTokens))
 			return
 		}
-		if r.Closed[home] {
-			continue
-		}
-		unused, asked := e.unused[home]
-		if !asked {
-			unused = l.grantedNothing(ctx, home, e.program)
-			e.unused[home] = unused
-		}
-		if unused {
-			r.close(home)
-		}
 	}
-	r.addLoss(homes, maxProvisional(r.Total, e.maxTokens))
+}
+
+// closedByWitnesses reports whether the row has all that the lost home granted, as its
+// witnesses know, and records that for the home's registration: it may register again.
+func (l *Ledger) closedByWitnesses(ctx context.Context, e *extension, r *record, home string) bool {
+	s, err := l.peers.Standing(ctx, home)
+	if err != nil {
+		l.log.Debug("witnesses of a lost home are unknown", "home", home, "error", err)
+		return false
+	}
+	registration := home + "@" + strconv.FormatInt(s.Epoch, 10)
+	if r.Closed[registration] {
+		return true
+	}
+	unused, asked := e.unused[registration]
+	if !asked {
+		unused, _ = l.revokeAt(ctx, s, e.program)
+		e.unused[registration] = unused
+	}
+	if unused {
+		r.close(registration)
+	}
+	return unused
 }
 
 // addGranted adds what this instance granted as the program's home. It grants no more once
--- a/budget/home.go
+++ b/budget/home.go
@@ -286,8 +286,8 @@
 	return nil, errors.Annotatef(ErrUnavailable, "%s may have grants that aren't recorded (%v)", process, failed)
 }
 
-// grantedNothing reports whether the witnesses of the process know that it has granted nothing to the
-// program that the store lacks, and won't.
+// grantedNothing reports whether the witnesses of the process know that it has granted
+// nothing to the program that the store lacks, and won't.
 func (l *Ledger) grantedNothing(ctx context.Context, process, program string) bool {
 	s, err := l.peers.Standing(ctx, process)
 	if err != nil {
--- a/budget/message.go
+++ b/budget/message.go
@@ -113,6 +113,9 @@
 	// EngageRequest makes an instance a witness of a process whose row on the roster names
 	// it, or tells it that the store has all grants of earlier periods.
 	EngageRequest struct {
+		// Witness is the process that is meant; one that has started since doesn't know what
+		// it has permitted.
+		Witness string `json:"witness"`
 		Process string `json:"process"`
 		Epoch   int64  `json:"epoch"`
 		Period  int64  `json:"period"`
@@ -120,9 +123,7 @@
 
 	// EngageReply is the answer.
 	EngageReply struct {
-		// Witness is the process that answers.
-		Witness string `json:"witness"`
-		Engaged bool   `json:"engaged"`
+		Engaged bool `json:"engaged"`
 	}
 
 	// PermitRequest asks a witness to permit grants to a program without the store.
--- a/budget/permission.go
+++ b/budget/permission.go
@@ -87,7 +87,7 @@
 	open := make(map[string]*EngageRequest)
 	for name, e := range p.witnesses {
 		if process := current(name); process != "" && (process != e.process || p.asked || e.period != p.period) {
-			open[name] = &EngageRequest{Process: holder, Epoch: p.epoch}
+			open[name] = &EngageRequest{Witness: process, Process: holder, Epoch: p.epoch}
 		}
 	}
 	if len(open) == 0 || !recorded() {
@@ -100,23 +100,23 @@
 	}
 	for name, q := range open {
 		q.Period = p.period
-		if e := p.witnesses[name]; e.process != current(name) {
+		if e := p.witnesses[name]; e.process != q.Witness {
 			e.process = ""
 		}
 	}
 	return open
 }
 
-// engaged records the reply of a witness.
-func (p *permission) engaged(name string, q *EngageRequest, reply *EngageReply, now time.Duration) {
+// engaged records that a witness is engaged.
+func (p *permission) engaged(name string, q *EngageRequest, now time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.witnesses[name]
-	if !ok || q.Epoch != p.epoch || !reply.Engaged {
+	if !ok || q.Epoch != p.epoch {
 		return
 	}
-	if e.process != reply.Witness {
-		e.process, e.since = reply.Witness, now
+	if e.process != q.Witness {
+		e.process, e.since = q.Witness, now
 	}
 	e.period = max(e.period, q.Period)
 }
@@ -200,8 +200,8 @@
 				l.log.Debug("witness not engaged", "witness", name, "epoch", q.Epoch, "period", q.Period, "error", err)
 				return nil
 			}
-			l.permission.engaged(name, q, reply, l.config.Now())
-			l.log.Debug("witness engaged", "witness", reply.Witness, "epoch", q.Epoch, "period", q.Period)
+			l.permission.engaged(name, q, l.config.Now())
+			l.log.Debug("witness engaged", "witness", q.Witness, "epoch", q.Epoch, "period", q.Period)
 			return nil
 		})
 	}
@@ -246,7 +246,7 @@
 
 // Engage makes this instance a witness of another process.
 func (l *Ledger) Engage(q *EngageRequest) *EngageReply {
-	return &EngageReply{Witness: l.holder, Engaged: l.witness.engage(q)}
+	return &EngageReply{Engaged: q.Witness == l.holder && l.witness.engage(q)}
 }
 
 // Permit permits another process to grant tokens to a program without the store, if that
--- a/budget/record.go
+++ b/budget/record.go
@@ -25,7 +25,8 @@
 	// Returned are the provisional tokens that holders returned.
 	Returned map[string]int `json:"returned,omitempty"`
 	// Closed are the processes of which the record has all that they granted as the home:
-	// they had an allocation of the program before they wrote it.
+	// they had an allocation of the program before they wrote it. With an epoch, it is the
+	// word of their witnesses for one registration.
 	Closed map[string]bool `json:"closed,omitempty"`
 	// Lost are the tokens that homes which were lost may have granted in addition.
 	Lost map[string]int `json:"lost,omitempty"`
@@ -102,26 +103,19 @@
 	r.Provisionals[holder] = sum
 }
 
-// addLoss counts the tokens as spent that one of the lost processes may have granted as
-// the home. A heavy program gets no provisional allocations, nor does one that the home
-// has an allocation of; but the first of those may have been on its way while the home
-// granted.
-func (r *record) addLoss(homes []string, tokens int) {
-	if !r.countsLoss(homes) {
-		return
-	}
+// addLoss counts the tokens as spent that the lost process may have granted as the home. A
+// heavy program gets no provisional allocations, nor does one that the home has an allocation
+// of; but the first of those may have been on its way while the home granted.
+func (r *record) addLoss(home string, tokens int) {
 	if r.Lost == nil {
 		r.Lost = make(map[string]int)
 	}
-	r.Lost[homes[0]] = tokens
+	r.Lost[home] = tokens
 }
 
-// countsLoss reports whether one of the lost processes may have granted what the record
-// lacks.
+// countsLoss reports whether the record counts the loss of one of the processes.
 func (r *record) countsLoss(homes []string) bool {
-	counted := slices.ContainsFunc(homes, func(home string) bool { return r.Lost[home] > 0 })
-	granted := slices.ContainsFunc(homes, func(home string) bool { return !r.Closed[home] })
-	return !r.Heavy && !counted && granted
+	return slices.ContainsFunc(homes, func(home string) bool { return r.Lost[home] > 0 })
 }
 
 // close records that the process grants nothing more as the program's home.
--- a/budget/witness_test.go
+++ b/budget/witness_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/buckthorntide/buckthorntide/budget"
+	"github.com/buckthorntide/buckthorntide/common"
 	"github.com/buckthorntide/buckthorntide/rows"
 )
 
@@ -18,7 +20,7 @@
 	const home = "home#1"
 	engage := func(epoch, period int64) func(l *budget.Ledger) bool {
 		return func(l *budget.Ledger) bool {
-			return l.Engage(&budget.EngageRequest{Process: home, Epoch: epoch, Period: period}).Engaged
+			return l.Engage(&budget.EngageRequest{Witness: l.Holder(), Process: home, Epoch: epoch, Period: period}).Engaged
 		}
 	}
 	permit := func(epoch, period int64, program string) func(l *budget.Ledger) bool {
@@ -73,6 +75,14 @@
 			{engage(1, 0), true}, {engage(1, 1), true}, {permit(1, 1, "p"), true}, {engage(1, 0), true}, {engage(1, 1), true}, {revoke(1, "p"), false},
 		}},
 		{"a question of an earlier period", []message{{engage(1, 0), true}, {engage(1, 1), true}, {permit(1, 0, "p"), false}}},
+		{"meant for an earlier process", []message{
+			{
+				func(l *budget.Ledger) bool {
+					return l.Engage(&budget.EngageRequest{Witness: "w#0", Process: home, Epoch: 1}).Engaged
+				}, false,
+			},
+			{revoke(1, "p"), false},
+		}},
 		{"another registration", []message{
 			{engage(2, 0), true}, {permit(1, 0, "p"), false}, {revoke(1, "p"), false}, {engage(1, 0), false}, {permit(3, 0, "p"), false}, {revoke(3, ""), false},
 		}},
@@ -95,7 +105,7 @@
 	f := emptyFleet(0, time.Hour)
 	l := f.start()
 	defer l.Close()
-	assert.Assert(t, l.Engage(&budget.EngageRequest{Process: "home#1", Epoch: 1}).Engaged)
+	assert.Assert(t, l.Engage(&budget.EngageRequest{Witness: l.Holder(), Process: "home#1", Epoch: 1}).Engaged)
 	assert.Assert(t, !l.Permit(&budget.PermitRequest{Process: "home#1", Epoch: 1, Program: "p"}).Permitted)
 	assert.Assert(t, l.Revoke(&budget.RevokeRequest{Process: "home#1", Epoch: 1}).Revoked)
 }
@@ -177,3 +187,59 @@
 		})
 	}
 }
+
+// A home is given up with a loss, since it granted something to another program, and registers
+// again; once the loss is forgotten it grants the program something and is lost. Guards against
+// the witnesses' word on its first registration that counts for the second one.
+func TestWitnessesKnowOneRegistration(t *testing.T) {
+	const total, maxTokens = 800, 100
+	synctest.Test(t, func(t *testing.T) {
+		s := newSites(6, productionTimes)
+		defer s.close()
+		home, other := s.members[0], s.members[5]
+		rest := func() {
+			time.Sleep(3 * s.times.recordDelay)
+			for _, m := range s.members {
+				s.readHeavy(m)
+			}
+		}
+		rest()
+		s.setDown(true)
+		assert.Assert(t, grantsWithoutStore(home, "q", total, maxTokens))
+		home.cut.Store(true)
+		s.setDown(false)
+		s.giveUp(home)
+		assert.Equal(t, len(s.losses), 1)
+		time.Sleep(2 * s.times.recordDelay)
+		handed := other.turn(total, maxTokens)
+		s.losses = nil
+		s.cut(home, false)
+		assert.Assert(t, home.listed)
+		rest()
+		s.setDown(true)
+		taken := 0
+		for grantsWithoutStore(home, "p", total, maxTokens) {
+			taken++
+		}
+		assert.Assert(t, taken > 0)
+		s.kill(home)
+		s.setDown(false)
+		s.giveUp(home)
+		assert.Equal(t, len(s.losses), 1)
+		rest()
+		spent, _ := takeTurns(other, "p", total, maxTokens)
+		handed += (taken + spent) * maxTokens
+		assert.Assert(t, handed <= total+maxTokens, "%d of %d", handed, total)
+	})
+}
+
+// grantsWithoutStore takes one turn of the program, and reports whether it was served.
+func grantsWithoutStore(m *member, program string, total, maxTokens int) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), m.sites.times.turn)
+	defer cancel()
+	if m.ledger.Reserve(ctx, program, total, maxTokens, common.Uptime()) != nil {
+		return false
+	}
+	m.ledger.Settle(program, maxTokens, maxTokens)
+	return true
+}
