Let a home read the heavy programs after each handover

Nothing was seen by callers. A program could be handed its budget and three turns: a home joins before an outage in which the former one grants; when the store is back others fill the row but for the room of one home, which the former one's grants take; the new one, cut off the store meanwhile, grants the same again in the next outage.

Cause: a home waits for the handover, and has read the heavy programs since the program moved to it, but not since what was handed over was recorded.

An earlier home now tells for how long the store has had all that it granted, and a home grants nothing until it has read the heavy programs and the roster since then. Homes that have granted nothing answer with their whole run, so in calm nobody waits longer; a peer of the version before counts as one that recorded just now.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -5,7 +5,8 @@
 // counts it as spent until its holder returns unused tokens. While the store is down,
 // only the program's home grants anything, up to maxProvisional, and only to programs
 // that are certainly light and have lost no home: it holds no allocation of them and has
-// read the table of heavy programs since they were assigned to it. A row lists its program
+// read the table of heavy programs since they were assigned to it and since earlier homes
+// recorded what they granted. A row lists its program
 // there with the write that leaves room for fewer than two such maxima, whatever the home
 // says, and keeps room for one until provisional allocations have ended. A home
 // ends them, and grants, only once each earlier home that is still listed knows of it and
@@ -116,8 +117,8 @@
 		WasHome(program string, within time.Duration) bool
 		// EarlierHomes returns the listed processes that may have been the program's home
 		// before this one, but for those that know that this one is and have recorded what
-		// they granted.
-		EarlierHomes(ctx context.Context, program string) []string
+		// they granted, and up to when these did.
+		EarlierHomes(ctx context.Context, program string) (open []string, recordedAt time.Duration)
 		// PossibleHomes returns the listed processes that may be or have been the program's
 		// home.
 		PossibleHomes(program string) []string
@@ -232,6 +233,7 @@
 	if l.config.Now == nil {
 		l.config.Now = common.Uptime
 	}
+	l.home.recordedAt = l.config.Now()
 	l.group.Go(l.recordProvisionals)
 	return l
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -188,7 +188,7 @@
 	return ok
 }
 
-func (s seat) EarlierHomes(context.Context, string) []string { return nil }
+func (s seat) EarlierHomes(context.Context, string) ([]string, time.Duration) { return nil, 0 }
 
 func (s seat) PossibleHomes(string) []string { return []string{"front-0#0"} }
 
--- a/budget/home.go
+++ b/budget/home.go
@@ -49,6 +49,8 @@
 		ready         bool
 		heavyPrograms map[string]bool
 		provisionals  map[string]*provisional
+		// recordedAt is when the last of them was recorded, at first when this started.
+		recordedAt time.Duration
 	}
 
 	// provisional is what a program was granted while the store was down.
@@ -103,7 +105,7 @@
 // this instance. It grants none unless the store is down for all instances and the
 // program is certainly light: this instance holds no allocation of it and doesn't know it
 // as heavy, and has read of all programs that became heavy before they were assigned to
-// it. Nor does it while an earlier home may have grants that aren't recorded, if a home of
+// it, or by what earlier homes recorded. Nor does it while an earlier home may have grants that aren't recorded, if a home of
 // the program was lost, so that the maximum is lost once at most, or once it stops, since it
 // may not record it any more, or without the permission of its witnesses.
 func (l *Ledger) GrantProvisional(ctx context.Context, holder, program string, total, maxTokens int, now time.Duration) int {
@@ -114,11 +116,14 @@
 	readAt := l.config.HeavyReadAt()
 	if !ok || readAt < since+moveDelays*l.config.RecordDelay {
 		l.log.Debug("no provisional allocation: the program may have become heavy at its home before",
-			"program", program, "home", ok, "homeForMs", (now - since).Milliseconds(), "heavyProgramsAgeMs", (now - readAt).Milliseconds())
+			"program", program, "home", ok, "homeForMs", (l.config.Now() - since).Milliseconds(), "heavyProgramsAgeMs", (l.config.Now() - readAt).Milliseconds())
 		return 0
 	}
-	if earlier := l.peers.EarlierHomes(ctx, program); len(earlier) > 0 {
-		l.log.Debug("no provisional allocation: an earlier home may have grants that aren't recorded", "program", program, "earlier", earlier)
+	earlier, recordedAt := l.peers.EarlierHomes(ctx, program)
+	if len(earlier) > 0 || readAt < recordedAt {
+		l.log.Debug("no provisional allocation: an earlier home may have grants that aren't recorded, or that have made the program heavy",
+			"program", program, "earlier", earlier, "recordedForMs", (l.config.Now() - recordedAt).Milliseconds(),
+			"heavyProgramsAgeMs", (l.config.Now() - readAt).Milliseconds())
 		return 0
 	}
 	if lost := l.peers.Losses(program); len(lost) > 0 {
@@ -202,7 +207,8 @@
 	if !l.Ready() {
 		return Ended{}, errors.Annotate(ErrUnavailable, "the table of heavy programs isn't read yet")
 	}
-	return l.endAtAll(ctx, append(l.peers.EarlierHomes(ctx, program), l.holder), program)
+	earlier, _ := l.peers.EarlierHomes(ctx, program)
+	return l.endAtAll(ctx, append(earlier, l.holder), program)
 }
 
 // storeWasDown returns an error if the store may have been down just now.
@@ -324,15 +330,17 @@
 	return len(l.home.unrecorded(common.Uptime())) == 0 && len(l.unrecordedAccounts()) == 0
 }
 
-// RecordedFor reports whether the store has all that this instance granted, as the home, to
-// programs that match.
-func (l *Ledger) RecordedFor(matches func(program string) bool) bool {
+// RecordedFor returns for how long the store has had all that this instance granted as the
+// home; ok is false if it lacks something of programs that match.
+func (l *Ledger) RecordedFor(matches func(program string) bool) (age time.Duration, ok bool) {
 	for program := range l.home.unrecorded(common.Uptime()) {
 		if matches(program) {
-			return false
+			return 0, false
 		}
 	}
-	return true
+	l.home.mu.Lock()
+	defer l.home.mu.Unlock()
+	return l.config.Now() - l.home.recordedAt, true
 }
 
 // recordProvisionals writes provisional allocations to the programs' rows once the
@@ -351,7 +359,7 @@
 		if !l.recordProvisional(ctx, program, a) {
 			break
 		}
-		l.home.markRecorded(program, a.sum)
+		l.home.markRecorded(program, a.sum, l.config.Now())
 	}
 	for program, a := range l.unrecordedAccounts() {
 		if !l.recordProvisional(ctx, program, a) {
@@ -419,9 +427,10 @@
 }
 
 // markRecorded records that the row has the provisional allocations up to the sum.
-func (h *home) markRecorded(program string, sum int) {
+func (h *home) markRecorded(program string, sum int, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.recordedAt = now
 	if a, ok := h.provisionals[program]; ok {
 		a.recorded = a.sum == sum
 	}
--- a/budget/message.go
+++ b/budget/message.go
@@ -92,6 +92,8 @@
 		// Process is the one that answers.
 		Process string `json:"process"`
 		Done    bool   `json:"done"`
+		// RecordedFor is for how long the store has had all that the process granted.
+		RecordedFor time.Duration `json:"recordedFor"`
 	}
 
 	// EndAtRequest asks an instance that may have been a program's home to grant nothing
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -116,10 +116,10 @@
 		movedAt      time.Duration
 		lagging      bool
 		unregistered bool
-		// listedAs orders the processes by when they were listed, handedOver are those
-		// that have handed over to it.
+		// listedAs orders the processes by when they were listed; handedOver has those that
+		// have handed over to it, and up to when they recorded what they granted.
 		listedAs   int
-		handedOver map[string]bool
+		handedOver map[string]time.Duration
 	}
 
 	// memberStore is the store as one process reaches it.
@@ -195,7 +195,7 @@
 	m.running, m.listed, m.frozen, m.leaving, m.lagging, m.heavyReadAt = true, false, false, false, false, 0
 	m.cut.Store(false)
 	m.misled.Store(false)
-	m.handedOver = make(map[string]bool)
+	m.handedOver = make(map[string]time.Duration)
 	m.home = s.homeLocked()
 	m.ledger = budget.NewLedger(hclog.NewNullLogger(), &memberStore{Store: s.memory, member: m}, m, holder, budget.Config{
 		StoreDown: func() bool {
@@ -499,27 +499,33 @@
 }
 
 // EarlierHomes asks the other listed instances, each until it has handed over once.
-func (m *member) EarlierHomes(context.Context, string) []string {
+func (m *member) EarlierHomes(context.Context, string) (open []string, recordedAt time.Duration) {
 	s := m.sites
-	var open []string
 	for _, other := range s.all() {
 		s.mu.Lock()
 		s.readRoster(other)
 		row, draining := other.row, other.leaving && other.running
 		key := fmt.Sprint(row, other.leaving, m.listedAs)
-		asked := other != m && row != "" && !m.handedOver[key] && (other.leaving || other.listedAs < m.listedAs)
+		at, done := m.handedOver[key]
+		asked := other != m && row != "" && (other.leaving || other.listedAs < m.listedAs)
 		answers := other.running && !other.frozen && other.ledger.Holder() == row && (draining || other.home == m)
 		s.mu.Unlock()
 		if !asked {
 			continue
 		}
-		if !answers || !other.ledger.Recorded() {
+		if !done && answers {
+			var age time.Duration
+			age, done = other.ledger.RecordedFor(func(string) bool { return true })
+			at = s.now() - age
+		}
+		if !done {
 			open = append(open, row)
 			continue
 		}
-		m.handedOver[key] = true
+		m.handedOver[key] = at
+		recordedAt = max(recordedAt, at)
 	}
-	return open
+	return open, recordedAt
 }
 
 // PossibleHomes returns the first processes of the list.
@@ -1234,3 +1240,48 @@
 		assert.Assert(t, handed <= total+maxTokens, "%d of %d", handed, total)
 	})
 }
+
+// A home joins before an outage, in which the former one grants; others fill the row while the
+// new one is cut off the store, and the former one records its grants. Guards against a new
+// home that grants in the next outage what the row has no room for any more: it has not read
+// the heavy programs since the handover.
+func TestHomeReadsHeavyProgramsAfterTheHandover(t *testing.T) {
+	const total, maxTokens = 600, 100
+	synctest.Test(t, func(t *testing.T) {
+		s := newSites(3, productionTimes)
+		defer s.close()
+		joins, former, last := s.members[0], s.members[1], s.members[2]
+		rest := func() {
+			time.Sleep(3 * s.times.recordDelay)
+			for _, m := range s.members {
+				s.readHeavy(m)
+			}
+		}
+		rest()
+		s.stop(joins)
+		rest()
+		s.mu.Lock()
+		s.readRoster(former)
+		former.lagging = true
+		s.mu.Unlock()
+		s.start(joins)
+		s.setDown(true)
+		handed := former.turn(total, maxTokens) + former.turn(total, maxTokens)
+		assert.Equal(t, handed, 2*maxTokens)
+		time.Sleep(5 * s.times.recordDelay)
+		s.setDown(false)
+		for range 6 {
+			handed += last.turn(total, maxTokens)
+		}
+		s.mu.Lock()
+		s.readRoster(joins)
+		joins.cut.Store(true)
+		s.mu.Unlock()
+		rest()
+		s.setDown(true)
+		for range 6 {
+			handed += joins.turn(total, maxTokens)
+		}
+		assert.Assert(t, handed <= total+maxTokens, "%d of %d", handed, total)
+	})
+}
--- a/peers/home.go
+++ b/peers/home.go
@@ -87,16 +87,21 @@
 
 // EarlierHomes returns the listed processes that may have been the program's home before this
 // one and have not handed over: that know that this one is, and have recorded what they
-// granted. Each process is asked until it says so once; those that were listed after this one
-// were never the home.
-func (m *Client) EarlierHomes(ctx context.Context, program string) []string {
-	var open []string
+// granted; and up to when the others did. Each process is asked until it says so once; those
+// that were listed after this one were never the home.
+func (m *Client) EarlierHomes(ctx context.Context, program string) (open []string, recordedAt time.Duration) {
 	for _, e := range m.roster.EarlierHomes(program) {
-		if _, done := m.handedOver.Load(m.handoverOf(e)); !done && !m.askHandover(ctx, e) {
+		at, done := m.handedOver.Load(m.handoverOf(e))
+		if !done && m.askHandover(ctx, e) {
+			at, done = m.handedOver.Load(m.handoverOf(e))
+		}
+		if !done {
 			open = append(open, e.HolderName())
+			continue
 		}
+		recordedAt = max(recordedAt, at.(time.Duration))
 	}
-	return open
+	return open, recordedAt
 }
 
 // PossibleHomes returns the listed processes that may be or have been the program's home.
@@ -224,7 +229,7 @@
 }
 
 // askHandover asks the instance whether it knows that this one is listed, and has recorded
-// what it granted to programs that this one is the home of.
+// what it granted to programs that this one is the home of, and remembers up to when it did.
 func (m *Client) askHandover(ctx context.Context, e roster.Entry) bool {
 	key := m.handoverOf(e)
 	reply, err := call(ctx, m, budget.Handover, e, &budget.HandoverRequest{Process: m.roster.Self().HolderName()}, callTimeout)
@@ -232,7 +237,7 @@
 		m.log.Debug("an earlier home may have grants that aren't recorded", "instance", e.Name, "error", err)
 		return false
 	}
-	m.handedOver.Store(key, true)
+	m.handedOver.Store(key, common.Uptime()-reply.RecordedFor)
 	return true
 }
 
@@ -257,8 +262,11 @@
 			m.log.Debug("an asker's row could not be read", "instance", name, "error", err)
 		}
 	}
-	done := err == nil && m.ledger.RecordedFor(func(program string) bool { return m.roster.First(program).Name == asker.Name })
-	return &budget.HandoverReply{Process: m.ledger.Holder(), Done: done}, nil
+	reply := &budget.HandoverReply{Process: m.ledger.Holder()}
+	if err == nil {
+		reply.RecordedFor, reply.Done = m.ledger.RecordedFor(func(program string) bool { return m.roster.First(program).Name == asker.Name })
+	}
+	return reply, nil
 }
 
 // readEntry reads the row of an instance, which may be newer than the roster.
