--- a/budget/broker.go
+++ b/budget/broker.go
@@ -165,7 +165,8 @@
 	return holder + "/" + strconv.FormatInt(number, 10)
 }
 
-// askerOf returns the holder name of the process that made a reservation.
+// askerOf returns the holder name of the process that made a reservation, empty if its name
+// has none.
 func askerOf(id string) string { return id[:max(0, strings.LastIndexByte(id, '/'))] }
 
 // settle ends a reservation at another instance, and tries again while that can't be
--- a/budget/desk.go
+++ b/budget/desk.go
@@ -68,8 +68,8 @@
 	defer d.mu.Unlock()
 	found := make(map[string]bool)
 	for id, r := range d.reservations {
-		if r.program == program {
-			found[askerOf(id)] = true
+		if asker := askerOf(id); asker != "" && r.program == program {
+			found[asker] = true
 		}
 	}
 	return slices.Collect(maps.Keys(found))
