Ask no witnesses of a lost home that have started since

Cause: after the kill of all, each program's home counts as lost, and no witness can tell anything, since all have started again. The first transaction of each program asked them in vain. On a loaded twelfth of a core that took longer than the 50 ms that an asker waits for the home.

A lost home's witnesses are asked only if half of them at least have run since before the loss. roster.TestWitnessesThatStartedSinceAreNotAsked.

--- a/peers/home.go
+++ b/peers/home.go
@@ -146,11 +146,14 @@
 func (m *Client) Standing(ctx context.Context, process string) (budget.Standing, error) {
 	name, _, _ := strings.Cut(process, "#")
 	if _, listed := m.holder(process); listed != nil {
-		e, lost := m.roster.LostProcess(process)
+		l, lost := m.roster.LostProcess(process)
 		if !lost {
 			return budget.Standing{}, errHolderGone
 		}
-		return StandingOf(e), nil
+		if !m.roster.WitnessesKnow(l) {
+			return budget.Standing{}, errWitnessesGone
+		}
+		return StandingOf(l.Entry), nil
 	}
 	e, err := readEntry(ctx, m.store, name)
 	if err != nil {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -52,6 +52,8 @@
 	errEjected = errors.ConstError("instance did not answer just now")
 	// errHolderGone means that the process that held an allocation has ended.
 	errHolderGone = errors.ConstError("holder has ended")
+	// errWitnessesGone means that too few witnesses of a lost process still know of it.
+	errWitnessesGone = errors.ConstError("witnesses have ended")
 	// errStopping refuses a reservation during a planned stop, so that the asker's own
 	// ledger makes it.
 	errStopping = errors.ConstError("instance is stopping")
--- a/roster/loss.go
+++ b/roster/loss.go
@@ -153,12 +153,12 @@
 
 func (l Loss) expired(now time.Time) bool { return now.Sub(time.UnixMilli(l.At)) > lossTTL }
 
-// LostProcess returns the entry of a lost process by its holder name.
-func (r *Roster) LostProcess(holder string) (Entry, bool) {
+// LostProcess returns the loss of a process by its holder name.
+func (r *Roster) LostProcess(holder string) (Loss, bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	l, ok := r.losses[lossPrefix+holder]
-	return l.Entry, ok
+	return l, ok
 }
 
 // Losses returns the lost processes that may have been the home of the name, those of each
--- a/roster/witness.go
+++ b/roster/witness.go
@@ -64,6 +64,20 @@
 	return chosen
 }
 
+// WitnessesKnow reports whether half of the witnesses of a lost process at least have run since
+// before it was lost, by the clocks of the instances, so that asking them may tell something.
+func (r *Roster) WitnessesKnow(l Loss) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	know := 0
+	for _, name := range l.Witnesses {
+		if e, listed := r.entries[name]; listed && e.Since < l.At-outageMargin.Milliseconds() {
+			know++
+		}
+	}
+	return know > 0 && 2*know >= len(l.Witnesses)
+}
+
 // LacksWitnesses reports whether some of the given witnesses are not listed any more, or
 // whether there could be more of them.
 func (r *Roster) LacksWitnesses(names []string) bool {
--- a/roster/witness_test.go
+++ b/roster/witness_test.go
@@ -166,3 +166,30 @@
 	assert.Equal(t, found.Epoch, second.Epoch)
 	assert.Equal(t, other.Others()[0].Epoch, second.Epoch)
 }
+
+// After all instances have started again, nobody can tell what one of them granted before.
+// Guards against questions to witnesses that each program waits for in vain.
+func TestWitnessesThatStartedSinceAreNotAsked(t *testing.T) {
+	const lostAt = 100_000
+	tests := []struct {
+		name string
+		// since are when the witnesses that are listed registered.
+		since map[string]int64
+		want  bool
+	}{
+		{name: "all have run", since: map[string]int64{"b": 1, "c": 1, "d": 1, "e": 1, "f": 1}, want: true},
+		{name: "three have", since: map[string]int64{"b": 1, "c": 1, "d": 1, "e": lostAt}, want: true},
+		{name: "all started with the loss", since: map[string]int64{"b": lostAt - 500, "c": lostAt - 900, "d": lostAt, "e": lostAt + 100, "f": lostAt + 900}},
+		{name: "three are gone", since: map[string]int64{"b": 1, "c": 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := roster.NewRoster(roster.Entry{Name: "a"})
+			for name, since := range tt.since {
+				r.Set(roster.Entry{Name: name, Since: since})
+			}
+			lost := roster.Loss{Entry: roster.Entry{Name: "g", Witnesses: []string{"b", "c", "d", "e", "f"}}, At: lostAt}
+			assert.Equal(t, r.WitnessesKnow(lost), tt.want)
+		})
+	}
+}
