Wait for a home that may only be slow

Cause: others went on without a home as soon as it did not answer in 50 ms. Before, only the home could end provisional allocations, so a row that needed that waited for it with 503. Now an instance could make the program heavy by itself, count the tokens that the slow home held as spent, and so answer 402.

The witnesses of a listed process are asked only if its host refused a connection or all calls to it have failed for a second. Until then turns that need its word get 503 as before. roster.TestSlowInstanceIsNotGone.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -127,7 +127,8 @@
 		EndAt(ctx context.Context, process, program string) (map[string]int, error)
 		// Answers reports whether the process answers.
 		Answers(ctx context.Context, process string) bool
-		// Standing reads the current row of a listed process, or returns that of a lost one.
+		// Standing reads the current row of a listed process that seems to be gone, or returns
+		// that of a lost one. It fails for a process that may only be slow.
 		Standing(ctx context.Context, process string) (Standing, error)
 		// ProcessOf returns the listed process of an instance; empty if there is none.
 		ProcessOf(instance string) string
--- a/peers/home.go
+++ b/peers/home.go
@@ -141,8 +141,8 @@
 	return err == nil && reply.Process == process
 }
 
-// Standing reads the row of a listed process, which may have been written again since the
-// roster was read, or returns the one with which a process was lost.
+// Standing reads the row of a listed process that seems to be gone, which may have been
+// written again since the roster was read, or returns the one with which a process was lost.
 func (m *Client) Standing(ctx context.Context, process string) (budget.Standing, error) {
 	name, _, _ := strings.Cut(process, "#")
 	if _, listed := m.holder(process); listed != nil {
@@ -155,6 +155,9 @@
 		}
 		return StandingOf(l.Entry), nil
 	}
+	if !m.roster.SeemsGone(name, common.Uptime(), goneTime) {
+		return budget.Standing{}, errSlow
+	}
 	e, err := readEntry(ctx, m.store, name)
 	if err != nil {
 		return budget.Standing{}, err
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -45,6 +45,9 @@
 	maxFallbackPeers = 3
 	// fallbackTimeout bounds such a call; it includes the store's time.
 	fallbackTimeout = 400 * time.Millisecond
+	// goneTime is how long a process must not have answered before others go on without it. One
+	// that is only slow still has the tokens that it holds.
+	goneTime = time.Second
 	// maxConcurrentTells bounds the concurrent messages to all peers.
 	maxConcurrentTells = 16
 
@@ -54,6 +57,8 @@
 	errHolderGone = errors.ConstError("holder has ended")
 	// errWitnessesGone means that too few witnesses of a lost process still know of it.
 	errWitnessesGone = errors.ConstError("witnesses have ended")
+	// errSlow means that a process that does not answer may only be slow.
+	errSlow = errors.ConstError("instance may only be slow")
 	// errStopping refuses a reservation during a planned stop, so that the asker's own
 	// ledger makes it.
 	errStopping = errors.ConstError("instance is stopping")
@@ -297,6 +302,9 @@
 		m.roster.MarkReachable(e.Name)
 	case ctx.Err() == nil:
 		m.roster.MarkFailed(e.Name, common.Uptime())
+		if errors.Is(err, peer.ErrUnreachable) {
+			m.roster.MarkRefused(e.Name)
+		}
 		m.log.Debug("peer did not reply; ejecting it", "instance", e.Name, "method", method.Name, "error", err)
 	}
 	return reply, err
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -172,6 +172,38 @@
 	}
 }
 
+// An instance that is slow fails some calls. Guards against others that go on without the
+// tokens that it holds.
+func TestSlowInstanceIsNotGone(t *testing.T) {
+	const after = time.Second
+	tests := []struct {
+		name string
+		call func(r *roster.Roster)
+		want bool
+	}{
+		{name: "never called", call: func(*roster.Roster) {}},
+		{name: "silent just now", call: func(r *roster.Roster) { r.MarkFailed("b", 9500*time.Millisecond) }},
+		{name: "silent for longer", call: func(r *roster.Roster) { r.MarkFailed("b", 8*time.Second) }, want: true},
+		{name: "answered in between", call: func(r *roster.Roster) {
+			r.MarkFailed("b", 8*time.Second)
+			r.MarkReachable("b")
+			r.MarkFailed("b", 9500*time.Millisecond)
+		}},
+		{name: "refused just now", call: func(r *roster.Roster) { r.MarkFailed("b", 9900*time.Millisecond); r.MarkRefused("b") }, want: true},
+		{name: "another process since", call: func(r *roster.Roster) {
+			r.MarkFailed("b", 8*time.Second)
+			r.Set(roster.Entry{Name: "b", Start: 2})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRoster(t, "a", "b")
+			tt.call(r)
+			assert.Equal(t, r.SeemsGone("b", 10*time.Second, after), tt.want)
+		})
+	}
+}
+
 func TestRemoveReportsOwnEntry(t *testing.T) {
 	r := newRoster(t, "a", "b")
 	assert.Assert(t, r.Remove("a"))
