Take no refused connection for a home that is gone

Cause, by reading: after a refused connection gRPC waits up to half a second before it dials again, and calls fail with the refusal meanwhile, also once the next process is listed. That process was taken for gone, and the tokens that it held counted as spent.

--- a/peers/peers.go
+++ b/peers/peers.go
@@ -302,9 +302,6 @@
 		m.roster.MarkReachable(e.Name)
 	case ctx.Err() == nil:
 		m.roster.MarkFailed(e.Name, common.Uptime())
-		if errors.Is(err, peer.ErrUnreachable) {
-			m.roster.MarkRefused(e.Name)
-		}
 		m.log.Debug("peer did not reply; ejecting it", "instance", e.Name, "method", method.Name, "error", err)
 	}
 	return reply, err
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -97,11 +97,9 @@
 	}
 
 	failure struct {
-		// refused is set once the instance's host refused a connection.
-		refused bool
-		start   int64
-		first   time.Duration
-		last    time.Duration
+		start int64
+		first time.Duration
+		last  time.Duration
 		// until is when the ejection ends, after rounds consecutive ones.
 		until  time.Duration
 		rounds int
@@ -407,23 +405,14 @@
 	r.failures[name] = f
 }
 
-// MarkRefused records that the host of an instance that did not reply refused a connection.
-func (r *Roster) MarkRefused(name string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if f, ok := r.failures[name]; ok {
-		f.refused = true
-		r.failures[name] = f
-	}
-}
-
-// SeemsGone reports whether the instance has ended or stands still, rather than being slow: a
-// connection was refused, or all calls have failed for longer than after.
+// SeemsGone reports whether the instance has ended or stands still, rather than being slow: all
+// calls have failed for longer than after. A connection that is refused tells less, since an
+// instance that has started again is dialled late.
 func (r *Roster) SeemsGone(name string, now, after time.Duration) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	f, ok := r.failures[name]
-	return ok && f.start == r.entries[name].Start && (f.refused || now-f.first > after)
+	return ok && f.start == r.entries[name].Start && now-f.first > after
 }
 
 // Ejected reports whether the instance is not called now, since it did not reply. The
